--- /dev/null
+++ b/scripts/build_bundles.ts
@@ -0,0 +1,16 @@
+import { build } from "esbuild";
+
+/** Bundles the product and the stand-ins for tests that start real processes. */
+export async function buildBundles(): Promise<void> {
+  await build({
+    entryPoints: { chivegrade: "src/main.ts", stand_ins: "stand_ins/main.ts" },
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    outdir: "dist/test",
+    outExtension: { ".js": ".cjs" },
+    external: ["unix-dgram"],
+    logLevel: "warning",
+  });
+}
--- /dev/null
+++ b/src/charts/process_chart.ts
@@ -0,0 +1,9 @@
+import definition from "../../charts/process.json" with { type: "json" };
+import type { ProcessPhase } from "./process_phase.ts";
+import { loadChart } from "./load_chart.ts";
+
+/** The life cycle of an entry process. */
+export const processChart = loadChart<
+  ProcessPhase,
+  "ready" | "drain" | "finish"
+>(definition);
--- /dev/null
+++ b/src/charts/process_phase.ts
@@ -0,0 +1,2 @@
+/** The states of charts/process.json. */
+export type ProcessPhase = "starting" | "serving" | "draining" | "stopped";
--- /dev/null
+++ b/src/cli/add_drain_command.ts
@@ -0,0 +1,23 @@
+import type { CAC } from "cac";
+import { callHttp } from "./call_http.ts";
+import { finishCommand } from "./finish_command.ts";
+import { requireOption } from "./require_option.ts";
+
+type DrainOptions = { entry?: string; token?: string; json?: boolean };
+
+/** Adds `chivegrade drain`: stops an entry gracefully. */
+export function addDrainCommand(cli: CAC): void {
+  cli.command("drain", "Stop an entry once all it has in flight is done")
+    .option("--entry <url>", "Base URL of the entry itself")
+    .option("--token <token>", "Operator token; else CHIVEGRADE_TOKEN")
+    .option("--json", "Print JSON")
+    .example("  chivegrade drain --entry http://10.0.0.7:7400")
+    .action(async (options: DrainOptions) => {
+      const entry = requireOption(options.entry, "entry");
+      const reply = await callHttp(`${entry}/drain`, {
+        method: "POST",
+        token: options.token,
+      });
+      finishCommand(reply, { json: options.json, text: `${entry}: stopping` });
+    });
+}
--- /dev/null
+++ b/src/cli/add_entry_command.ts
@@ -0,0 +1,19 @@
+import type { CAC } from "cac";
+import { startEntry } from "../entry/start_entry.ts";
+import { loadRole } from "./load_role.ts";
+import { runUntilStopped } from "./run_until_stopped.ts";
+
+/** Adds `chivegrade entry`: serves callers until it is told to stop. */
+export function addEntryCommand(cli: CAC): void {
+  cli.command("entry <settings>", "Serve callers, as one entry process")
+    .example("  chivegrade entry /etc/chivegrade/entry.toml")
+    .action(async (file: string) => {
+      const settings = loadRole(file, "entry");
+      const started = startEntry(settings, () => begin());
+      const begin = runUntilStopped(async () => (await started).stop());
+      const handle = await started;
+      process.stdout.write(
+        JSON.stringify({ ready: handle.url, name: handle.name }) + "\n",
+      );
+    });
+}
--- /dev/null
+++ b/src/cli/call_http.ts
@@ -0,0 +1,47 @@
+import { ChivegradeError } from "../errors/chivegrade_error.ts";
+import { readError } from "../errors/read_error.ts";
+
+/** A reply of one of the product's HTTP interfaces. */
+type HttpReply = { status: number; body: Record<string, unknown> };
+
+/** Calls a process's HTTP interface with the token of the command line or the environment. */
+export async function callHttp(
+  url: string,
+  options: { method: string; token?: string; body?: unknown },
+): Promise<HttpReply> {
+  const token = options.token ?? process.env.CHIVEGRADE_TOKEN ?? "";
+  const body = options.body === undefined
+    ? undefined
+    : JSON.stringify(options.body);
+  const reply = await request(url, {
+    method: options.method,
+    headers: { authorization: `Bearer ${token}` },
+    body,
+  });
+  const text = await reply.text();
+  return { status: reply.status, body: parseBody(url, text) };
+}
+
+async function request(url: string, init: RequestInit): Promise<Response> {
+  try {
+    return await fetch(url, init);
+  } catch (thrown) {
+    throw new ChivegradeError("peerUnavailable", {
+      found: `${url} can't be reached`,
+      remedy: "Check the address and that the process runs",
+      cause: readError(thrown),
+    });
+  }
+}
+
+function parseBody(url: string, text: string): Record<string, unknown> {
+  try {
+    return JSON.parse(text);
+  } catch (thrown) {
+    throw new ChivegradeError("requestInvalid", {
+      found: `${url} did not answer with JSON`,
+      remedy: "Check that the address is a chivegrade process's",
+      cause: readError(thrown),
+    });
+  }
+}
--- /dev/null
+++ b/src/cli/exit_code.ts
@@ -0,0 +1,2 @@
+/** Exit codes of the command line, for scripts. */
+export const EXIT_CODE = { done: 0, failed: 1, wrongUse: 2 } as const;
--- /dev/null
+++ b/src/cli/format_changes.ts
@@ -0,0 +1,14 @@
+/** Formats a patch's outcome: the version, and each change as a line. */
+export function formatChanges(body: Record<string, unknown>): string {
+  const changes = (body.changes ?? []) as {
+    path: string;
+    before: unknown;
+    after: unknown;
+  }[];
+  const lines = changes.map(({ path, before, after }) =>
+    `  ${path}: ${JSON.stringify(before) ?? "(none)"} -> ${
+      JSON.stringify(after) ?? "(none)"
+    }`
+  );
+  return [`${body.type}: version ${body.version}`, ...lines].join("\n");
+}
--- /dev/null
+++ b/src/cli/read_json_file.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from "node:fs";
+import { ChivegradeError } from "../errors/chivegrade_error.ts";
+import { readError } from "../errors/read_error.ts";
+
+/** Reads a JSON file; '-' reads standard input. */
+export function readJsonFile(file: string): unknown {
+  try {
+    return JSON.parse(readFileSync(file === "-" ? 0 : file, "utf8"));
+  } catch (thrown) {
+    const cause = readError(thrown);
+    throw new ChivegradeError("requestInvalid", {
+      found: `${file} is not a readable JSON file (${cause.message})`,
+      remedy: "Name an existing file that holds JSON, or '-'",
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/src/control/describe_control.ts
@@ -0,0 +1,25 @@
+import type { ControlContext } from "./control_context.ts";
+
+/** Describes what a control daemon believes, for operators. */
+export function describeControl(context: ControlContext) {
+  const silentMs = Math.round(performance.now() - context.heardAtMs);
+  return {
+    role: "control",
+    name: context.settings.peerAddress,
+    dataCentre: context.settings.dataCentre,
+    version: context.version,
+    platformSilentMs: silentMs,
+    entriesWatching: [...context.watchers.keys()],
+    members: [...context.leases.values()].map((row) => ({
+      name: row.key,
+      dataCentre: row.value.dataCentre,
+      state: row.value.state,
+    })),
+    shards: [...context.shards.values()].map((row) => ({
+      shard: row.key,
+      holder: row.value.holder,
+      epoch: row.value.epoch,
+    })),
+    leavingAddresses: context.leavingAddresses,
+  };
+}
--- /dev/null
+++ b/src/control/start_control.ts
@@ -0,0 +1,80 @@
+import { startHttpServer } from "../http/start_http_server.ts";
+import { createLogger } from "../log/create_logger.ts";
+import { createMetrics } from "../metrics/create_metrics.ts";
+import { createPeerPool } from "../peer/create_peer_pool.ts";
+import { loadPeerServices } from "../peer/load_peer_services.ts";
+import { startPeerServer } from "../peer/start_peer_server.ts";
+import { createHttpPlatform } from "../platform/create_http_platform.ts";
+import type { ControlSettings } from "../settings/control_settings.ts";
+import { askPeers } from "./ask_peers.ts";
+import type { ControlContext } from "./control_context.ts";
+import type { ControlHandle } from "./control_handle.ts";
+import { createControlHandlers } from "./create_control_handlers.ts";
+import { createOperatorApp } from "./create_operator_app.ts";
+import { keepView } from "./keep_view.ts";
+
+/** Starts a control daemon's work. */
+export async function startControl(
+  settings: ControlSettings,
+): Promise<ControlHandle> {
+  const services = loadPeerServices();
+  const context = createContext(settings, services);
+  const peerServer = await startPeerServer(
+    settings.peerAddress,
+    services.control.service,
+    createControlHandlers(context),
+  );
+  const operatorServer = await startHttpServer(
+    createOperatorApp(context),
+    settings.operatorAddress,
+    "operatorAddress",
+  );
+  keepView(context);
+  askPeers(context);
+  const peerHost = settings.peerAddress.replace(/:\d+$/, "");
+  const operatorHost = settings.operatorAddress.replace(/:\d+$/, "");
+  const peerAddress = `${peerHost}:${peerServer.port}`;
+  context.logger.info("controlStarted", { address: peerAddress });
+  return {
+    peerAddress,
+    url: `http://${operatorHost}:${operatorServer.port}`,
+    stop: async () => {
+      context.stopped = true;
+      await operatorServer.stop();
+      await peerServer.stop();
+      context.peers.close();
+      await context.platform.close();
+      context.metrics.close();
+      context.logger.info("controlStopped");
+    },
+  };
+}
+
+function createContext(
+  settings: ControlSettings,
+  services: ReturnType<typeof loadPeerServices>,
+): ControlContext {
+  const { platformUrl, platformTimeoutMs } = settings;
+  return {
+    settings,
+    platform: createHttpPlatform(platformUrl, platformTimeoutMs),
+    logger: createLogger("control", {
+      name: settings.peerAddress,
+      level: settings.logLevel,
+    }),
+    metrics: createMetrics(settings.metricsAddress, {
+      role: "control",
+      dataCentre: settings.dataCentre,
+    }),
+    peers: createPeerPool(services.control),
+    version: 0,
+    configuration: undefined,
+    leases: new Map(),
+    shards: new Map(),
+    leavingAddresses: [],
+    revision: 0,
+    heardAtMs: performance.now(),
+    watchers: new Map(),
+    stopped: false,
+  };
+}
--- /dev/null
+++ b/src/control/write_version.ts
@@ -0,0 +1,50 @@
+import type { VersionRecord } from "../config/version_record.ts";
+import { formatRowKey } from "../platform/format_row_key.ts";
+import type { Table } from "../platform/table.ts";
+import type { TableOperation } from "../platform/table_operation.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import { formatVersionKey } from "./format_version_key.ts";
+
+/** Attempts at learning whether a write whose reply was lost took effect. */
+const MOST_ATTEMPTS = 5;
+const PAUSE_MS = 200;
+
+/**
+ * Writes a version's record and moves the head to it, both or neither; false
+ * when another patch came first. Rejects when that can't be learnt.
+ */
+export async function writeVersion(
+  table: Table,
+  record: VersionRecord,
+): Promise<boolean> {
+  for (let attempt = 1;; attempt += 1) {
+    try {
+      return await tryWrite(table, record);
+    } catch (thrown) {
+      if (attempt === MOST_ATTEMPTS) throw thrown;
+      await waitMs(PAUSE_MS);
+    }
+  }
+}
+
+async function tryWrite(
+  table: Table,
+  record: VersionRecord,
+): Promise<boolean> {
+  const key = formatRowKey("head");
+  const value = { version: record.version };
+  const scan = await table.scan(key, 0);
+  const head = scan.rows[0];
+  const move: TableOperation = head
+    ? { type: "replace", key, value, revision: head.revision }
+    : { type: "insert", key, value };
+  const recordKey = formatVersionKey(record.version);
+  const result = await table.transact([
+    { type: "insert", key: recordKey, value: record },
+    move,
+  ]);
+  if (result.type === "committed") return true;
+  const written = await table.scan(recordKey, 0);
+  const found = written.rows[0]?.value as VersionRecord | undefined;
+  return found?.digest === record.digest;
+}
--- /dev/null
+++ b/src/decide/entry/apply_commit.ts
@@ -0,0 +1,38 @@
+import type { LogRecord } from "../claim/log_record.ts";
+import type { ShardState } from "../own/shard_state.ts";
+import type { EntryState } from "./entry_state.ts";
+import { startJob } from "./start_job.ts";
+
+/** Applies an append that took effect: jobs claimed by it start. */
+export function applyCommit(state: EntryState, shard: ShardState): void {
+  const records = shard.inFlight?.records ?? [];
+  shard.inFlight = undefined;
+  for (const record of records) {
+    if (record.type === "claim") applyClaim(state, shard, record);
+  }
+}
+
+function applyClaim(
+  state: EntryState,
+  shard: ShardState,
+  record: LogRecord & { type: "claim" },
+): void {
+  const job = state.jobs.get(record.key);
+  if (!job || job.shard !== shard) return;
+  if (isClaimedAgain(shard, record.key)) return;
+  if (job.claim === "memory") {
+    job.claim = "written";
+    shard.unwritten -= 1;
+    return;
+  }
+  if (job.claim !== "pending" || job.phase !== "claiming") return;
+  job.claim = "written";
+  startJob(state, job);
+}
+
+/** A later claim of the same key waits behind the withdrawal of this one. */
+function isClaimedAgain(shard: ShardState, key: string): boolean {
+  return shard.pending.some((record) =>
+    record.type === "claim" && record.key === key
+  );
+}
--- /dev/null
+++ b/src/decide/entry/complete_job.ts
@@ -0,0 +1,21 @@
+import { advanceChart } from "../../charts/advance_chart.ts";
+import { jobChart } from "../../charts/job_chart.ts";
+import type { JobState } from "../job/job_state.ts";
+import { endJob } from "./end_job.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Ends a job whose tasks are all done: its answer is whole. */
+export function completeJob(
+  state: EntryState,
+  job: JobState,
+  nowMs: number,
+): void {
+  job.phase = advanceChart(jobChart, job.phase, "complete");
+  const results = job.tasks.map((task) => task.result as string);
+  job.shard.pending.push({
+    type: "complete",
+    key: job.key,
+    digest: job.digest,
+  });
+  endJob(state, job, { answer: { status: "complete", results }, nowMs });
+}
--- /dev/null
+++ b/src/decide/entry/fail_job.ts
@@ -0,0 +1,44 @@
+import { advanceChart } from "../../charts/advance_chart.ts";
+import { jobChart } from "../../charts/job_chart.ts";
+import { taskChart } from "../../charts/task_chart.ts";
+import type { Failure } from "../job/failure.ts";
+import type { JobState } from "../job/job_state.ts";
+import { changeWaiting } from "../route/change_waiting.ts";
+import { cancelAttempts } from "./cancel_attempts.ts";
+import { endJob } from "./end_job.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Fails a claimed job at once: nothing more of it starts, and its callers are told. */
+export function failJob(
+  state: EntryState,
+  job: JobState,
+  options: { failure: Failure; nowMs: number },
+): void {
+  const { failure, nowMs } = options;
+  job.phase = advanceChart(jobChart, job.phase, "fail");
+  const mayHaveRun = job.tasks.some((task) => task.mayHaveRun);
+  cancelWaitingTasks(state, job);
+  cancelAttempts(state, job, nowMs);
+  job.shard.pending.push({
+    type: "failed",
+    key: job.key,
+    digest: job.digest,
+    failure,
+    mayHaveRun,
+  });
+  endJob(state, job, {
+    answer: { status: "failed", failure, mayHaveRun },
+    nowMs,
+  });
+}
+
+function cancelWaitingTasks(state: EntryState, job: JobState): void {
+  job.tasks.forEach((task, index) => {
+    if (task.phase === "waiting") {
+      changeWaiting(state.scheduler, job, { index, by: -1 });
+    }
+    if (task.phase === "waiting" || task.phase === "held") {
+      task.phase = advanceChart(taskChart, task.phase, "cancel");
+    }
+  });
+}
--- /dev/null
+++ b/src/decide/entry/forget_old_jobs.ts
@@ -0,0 +1,40 @@
+import type { ClockReading } from "../../utils/clock_reading.ts";
+import type { JobState } from "../job/job_state.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** How long a whole answer stays in memory for resubmissions, in ms. */
+const ANSWER_KEPT_MS = 60_000;
+
+/** Drops the answers of jobs that ended a while ago; what the log says of them stays known. */
+export function forgetOldJobs(state: EntryState, clock: ClockReading): void {
+  const nowMs = clock.monotonicMs;
+  let count = 0;
+  for (const job of state.ended) {
+    if ((job.endedAtMs ?? nowMs) + ANSWER_KEPT_MS > nowMs) break;
+    count += 1;
+    forgetJob(state, job, clock);
+  }
+  if (count > 0) state.ended.splice(0, count);
+}
+
+function forgetJob(
+  state: EntryState,
+  job: JobState,
+  clock: ClockReading,
+): void {
+  if (state.jobs.get(job.key) !== job) return;
+  state.jobs.delete(job.key);
+  if (job.phase === "refused" || job.answer === undefined) return;
+  const failed = job.answer.status === "failed" ? job.answer : undefined;
+  const shard = state.shards.get(job.shard.index) ?? job.shard;
+  shard.known.set(job.key, {
+    digest: job.digest,
+    status: job.phase === "complete" ? "complete" : "failed",
+    owner: "",
+    incarnation: state.lease.incarnation,
+    atMs: clock.wallMs,
+    failure: failed?.failure,
+    mayHaveRun: failed?.mayHaveRun,
+    answer: job.answerObject,
+  });
+}
--- /dev/null
+++ b/src/decide/entry/look_up_job.ts
@@ -0,0 +1,33 @@
+import { createJobKey } from "../job/create_job_key.ts";
+import type { ShardState } from "../own/shard_state.ts";
+import { answerKnown } from "./answer_known.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Answers a caller about a job: when it ends, from the log, or that there is none. */
+export function lookUpJob(
+  state: EntryState,
+  job: { client: string; submissionId: string; callerId: string },
+  shard: ShardState | undefined,
+): void {
+  const key = createJobKey(job.client, job.submissionId);
+  const { callerId } = job;
+  const running = state.jobs.get(key);
+  const known = shard?.known.get(key);
+  if (running?.answer) {
+    const { answer } = running;
+    state.outbox.push({ type: "answerCaller", callerId, answer });
+  } else if (running) {
+    running.callers.push(callerId);
+  } else if (known) {
+    answerKnown(state, known, { key, callerId });
+  } else {
+    const message =
+      "No such job is known; submit it, with the same id if it may have been submitted before";
+    const failure = { kind: "notFound" as const, message };
+    state.outbox.push({
+      type: "answerCaller",
+      callerId,
+      answer: { status: "refused", failure, notRun: false },
+    });
+  }
+}
--- /dev/null
+++ b/src/decide/entry/refresh_endpoints.ts
@@ -0,0 +1,39 @@
+import type { EndpointConfiguration } from "../../config/endpoint_configuration.ts";
+import { findEndpointShard } from "../own/find_endpoint_shard.ts";
+import { updateEndpoints } from "../route/update_endpoints.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Brings the endpoints that this entry leads in line with its shards and version. */
+export function refreshEndpoints(state: EntryState): void {
+  const { configuration } = state.version;
+  const shards = configuration.dataCentres[state.dataCentre]?.shards ?? 0;
+  const leading = findLeadingShards(state);
+  const local = Object.entries(configuration.endpoints)
+    .filter(([, endpoint]) => endpoint.dataCentre === state.dataCentre)
+    .sort(([one], [other]) => (one < other ? -1 : 1));
+  const led = new Map<string, EndpointConfiguration>();
+  for (const [id, endpoint] of local) {
+    const sameKind = local
+      .filter(([, other]) => isSameKind(endpoint, other))
+      .map(([name]) => name);
+    const shard = findEndpointShard({ id, shards }, sameKind);
+    if (leading.has(shard)) led.set(id, endpoint);
+  }
+  updateEndpoints(state.scheduler, led);
+}
+
+/** Shards held, and shards given up whose jobs still need their endpoints. */
+function findLeadingShards(state: EntryState): Set<number> {
+  const held = [...state.shards.values()].filter((shard) =>
+    shard.phase === "active" || shard.phase === "handingOver"
+  );
+  const unfinished = state.retired.filter((shard) => shard.openJobs > 0);
+  return new Set([...held, ...unfinished].map((shard) => shard.index));
+}
+
+function isSameKind(
+  one: EndpointConfiguration,
+  other: EndpointConfiguration,
+): boolean {
+  return one.services.join() === other.services.join();
+}
--- /dev/null
+++ b/src/decide/entry/refuse_claiming_job.ts
@@ -0,0 +1,35 @@
+import { advanceChart } from "../../charts/advance_chart.ts";
+import { jobChart } from "../../charts/job_chart.ts";
+import { createRefusal } from "../job/create_refusal.ts";
+import type { FailureKind } from "../job/failure_kind.ts";
+import type { JobState } from "../job/job_state.ts";
+import { endJob } from "./end_job.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Gives up a job before any of its tasks started, and takes its claim back. */
+export function refuseClaimingJob(
+  state: EntryState,
+  job: JobState,
+  options: {
+    kind: FailureKind;
+    message: string;
+    retryAfterMs?: number;
+    nowMs: number;
+  },
+): void {
+  job.phase = advanceChart(jobChart, job.phase, "refuse");
+  withdrawClaim(job);
+  const answer = createRefusal(options.kind, options);
+  endJob(state, job, { answer, nowMs: options.nowMs });
+}
+
+/** A claim that may be on its way to the table is withdrawn by a record behind it. */
+function withdrawClaim(job: JobState): void {
+  const { shard, key } = job;
+  const before = shard.pending.length;
+  shard.pending = shard.pending.filter((record) =>
+    record.type !== "claim" || record.key !== key
+  );
+  if (shard.pending.length < before) return;
+  shard.pending.push({ type: "withdrawn", key });
+}
--- /dev/null
+++ b/src/decide/job/failure_kind.ts
@@ -0,0 +1,20 @@
+/** Why a job failed or was refused; part of the callers' interface. */
+export type FailureKind =
+  | "taskFailed"
+  | "outcomeUnknown"
+  | "deadlineExceeded"
+  | "cancelled"
+  | "ownerLost"
+  | "mayHaveRun"
+  | "submissionReused"
+  | "overloaded"
+  | "quotaExceeded"
+  | "clientSuspended"
+  | "clientUnknown"
+  | "neverRunnable"
+  | "platformUnavailable"
+  | "idFromFuture"
+  | "draining"
+  | "notOwner"
+  | "ownerUnreachable"
+  | "notFound";
--- /dev/null
+++ b/src/decide/job/job_phase.ts
@@ -0,0 +1,7 @@
+/** The states of charts/job.json. */
+export type JobPhase =
+  | "claiming"
+  | "running"
+  | "complete"
+  | "failed"
+  | "refused";
--- /dev/null
+++ b/src/decide/job/task_phase.ts
@@ -0,0 +1,8 @@
+/** The states of charts/task.json. */
+export type TaskPhase =
+  | "held"
+  | "waiting"
+  | "running"
+  | "done"
+  | "failed"
+  | "cancelled";
--- /dev/null
+++ b/src/decide/order/task_queue.ts
@@ -0,0 +1,71 @@
+import { BinaryHeap } from "../../utils/binary_heap.ts";
+import type { ClientShare } from "../route/client_share.ts";
+import type { QueuedTask } from "../route/queued_task.ts";
+
+/**
+ * Waiting tasks, fair among clients: the client that was served least goes
+ * first, and its task of the lowest rank. Cancelled tasks are passed over.
+ */
+export class TaskQueue {
+  #heaps = new Map<string, BinaryHeap<QueuedTask>>();
+
+  /** Adds a task under its job's client and rank. */
+  push(task: QueuedTask): void {
+    const client = task.job.client;
+    let heap = this.#heaps.get(client);
+    if (!heap) {
+      heap = new BinaryHeap();
+      this.#heaps.set(client, heap);
+    }
+    heap.push(task, task.job.rank);
+  }
+
+  /** Returns the task that is due next, without removing it. */
+  peek(shares: Map<string, ClientShare>): QueuedTask | undefined {
+    const client = this.#findNextClient(shares);
+    return client === undefined ? undefined : this.#heaps.get(client)?.peek();
+  }
+
+  /** Removes and returns the task that is due next. */
+  pop(shares: Map<string, ClientShare>): QueuedTask | undefined {
+    const client = this.#findNextClient(shares);
+    return client === undefined ? undefined : this.#heaps.get(client)?.pop();
+  }
+
+  /** Removes and returns every waiting task. */
+  drain(): QueuedTask[] {
+    const tasks = [...this.#heaps.values()].flatMap((heap) => heap.drain());
+    this.#heaps.clear();
+    return tasks.filter(isWaiting);
+  }
+
+  #findNextClient(shares: Map<string, ClientShare>): string | undefined {
+    let next: string | undefined;
+    let leastMs = Infinity;
+    for (const [client, heap] of this.#heaps) {
+      this.#dropCancelled(heap);
+      if (heap.size === 0) {
+        this.#heaps.delete(client);
+        continue;
+      }
+      const servedMs = shares.get(client)?.virtualMs ?? 0;
+      if (servedMs < leastMs) {
+        leastMs = servedMs;
+        next = client;
+      }
+    }
+    return next;
+  }
+
+  #dropCancelled(heap: BinaryHeap<QueuedTask>): void {
+    let top = heap.peek();
+    while (top && !isWaiting(top)) {
+      heap.pop();
+      top = heap.peek();
+    }
+  }
+}
+
+function isWaiting(task: QueuedTask): boolean {
+  return task.job.tasks[task.index].phase === "waiting";
+}
--- /dev/null
+++ b/src/decide/own/create_lease_state.ts
@@ -0,0 +1,17 @@
+import { leaseChart } from "../../charts/lease_chart.ts";
+import type { LeaseState } from "./lease_state.ts";
+
+/** Creates the state of a process that holds no lease yet. */
+export function createLeaseState(incarnation: string): LeaseState {
+  return {
+    phase: leaseChart.initial,
+    incarnation,
+    revision: 0,
+    leaseMs: 0,
+    validUntilMonotonicMs: 0,
+    validUntilWallMs: 0,
+    confirmedAtMs: 0,
+    ackedAtMs: 0,
+    coveredUntilMs: 0,
+  };
+}
--- /dev/null
+++ b/src/decide/own/create_shard_state.ts
@@ -0,0 +1,23 @@
+import { shardChart } from "../../charts/shard_chart.ts";
+import type { ShardRow } from "./shard_row.ts";
+import type { ShardState } from "./shard_state.ts";
+
+/** Creates the state of a shard that was just acquired and whose log is to be loaded. */
+export function createShardState(
+  index: number,
+  row: ShardRow,
+  revision: number,
+): ShardState {
+  return {
+    index,
+    phase: shardChart.initial,
+    epoch: row.epoch,
+    revision,
+    known: new Map(),
+    windows: row.windows,
+    pending: [],
+    nextSequence: 1,
+    unwritten: 0,
+    openJobs: 0,
+  };
+}
--- /dev/null
+++ b/src/decide/own/decide_ownership.ts
@@ -0,0 +1,68 @@
+import { chooseHolders } from "./choose_holders.ts";
+import { isLeaseOver } from "./is_lease_over.ts";
+import type { OwnershipAction } from "./ownership_action.ts";
+import type { OwnershipView } from "./ownership_view.ts";
+
+/** Decides which shards of its data centre a process takes and which it hands over. */
+export function decideOwnership(
+  view: OwnershipView,
+  self: { name: string; dataCentre: string; leaving: boolean },
+  options: { shards: number; platformNowMs: number },
+): OwnershipAction[] {
+  const members = findMembers(view, self, options.platformNowMs);
+  if (members.length === 0) return [];
+  const preferred = chooseHolders(options.shards, members);
+  const actions: OwnershipAction[] = [];
+  for (let shard = 0; shard < options.shards; shard += 1) {
+    const action = decideShard(view, self, {
+      shard,
+      preferred: preferred[shard],
+      platformNowMs: options.platformNowMs,
+    });
+    if (action) actions.push(action);
+  }
+  return actions;
+}
+
+/** The processes of the data centre that may hold shards. */
+function findMembers(
+  view: OwnershipView,
+  self: { name: string; dataCentre: string; leaving: boolean },
+  platformNowMs: number,
+): { name: string; weight: number }[] {
+  return [...view.leases]
+    .filter(([name, row]) => {
+      const { dataCentre, state, address } = row.value;
+      if (dataCentre !== self.dataCentre || state !== "live") return false;
+      if (name === self.name) return !self.leaving;
+      const host = address.slice(0, address.lastIndexOf(":"));
+      if (view.leavingAddresses.includes(host)) return false;
+      return !isLeaseOver(row, platformNowMs);
+    })
+    .map(([name, row]) => ({ name, weight: row.value.weight }));
+}
+
+function decideShard(
+  view: OwnershipView,
+  self: { name: string; dataCentre: string },
+  options: { shard: number; preferred: string; platformNowMs: number },
+): OwnershipAction | undefined {
+  const { shard, preferred, platformNowMs } = options;
+  const row = view.shards.get(`${self.dataCentre}/${shard}`);
+  if (!row) {
+    return preferred === self.name ? { type: "acquire", shard } : undefined;
+  }
+  const { holder, incarnation } = row.value;
+  const own = view.leases.get(self.name)?.value.incarnation;
+  if (holder === self.name && incarnation === own) {
+    if (preferred === self.name) return undefined;
+    return { type: "handOver", shard, to: preferred };
+  }
+  if (preferred !== self.name) return undefined;
+  const lease = view.leases.get(holder);
+  const replaced = lease?.value.incarnation !== incarnation;
+  if (!lease || replaced || isLeaseOver(lease, platformNowMs)) {
+    return { type: "acquire", shard, from: holder };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/decide/retry/decide_retry.ts
@@ -0,0 +1,29 @@
+import { match } from "ts-pattern";
+import type { Policy } from "../../config/policy.ts";
+import type { AttemptOutcome } from "../job/attempt_outcome.ts";
+import type { TaskState } from "../job/task_state.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import { takeRetry } from "./take_retry.ts";
+
+/**
+ * Decides whether a task whose attempt did not end well may be sent again:
+ * never without proof that the attempt never began or that it ended.
+ */
+export function decideRetry(
+  task: TaskState,
+  outcome: AttemptOutcome,
+  options: { policy: Policy; budget: RetryBudget },
+): boolean {
+  const { policy, budget } = options;
+  const proved = match(outcome.type)
+    .with("neverSent", "refused", () => true)
+    .with(
+      "failed",
+      () =>
+        policy.retryAfterFailure === "repeatable" && !task.request.unrepeatable,
+    )
+    .with("unknown", "done", () => false)
+    .exhaustive();
+  if (!proved || task.attempts >= policy.maxAttempts) return false;
+  return takeRetry(budget);
+}
--- /dev/null
+++ b/src/decide/retry/retry_budget.ts
@@ -0,0 +1,2 @@
+/** Tokens that retries use up and first attempts earn. */
+export type RetryBudget = { tokens: number };
--- /dev/null
+++ b/src/decide/route/create_endpoint_state.ts
@@ -0,0 +1,25 @@
+import type { EndpointConfiguration } from "../../config/endpoint_configuration.ts";
+import { endpointChart } from "../../charts/endpoint_chart.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+
+/** Creates the state of an endpoint that nothing is known of yet. */
+export function createEndpointState(
+  id: string,
+  configured: EndpointConfiguration,
+): EndpointState {
+  return {
+    id,
+    services: configured.services,
+    slots: configured.slots,
+    limit: configured.slots,
+    inFlight: 0,
+    phase: endpointChart.initial,
+    closed: configured.leaving,
+    failuresInRow: 0,
+    ejections: 0,
+    restUntilMs: 0,
+    slowness: 1,
+    samples: 0,
+    boundMs: 0,
+  };
+}
--- /dev/null
+++ b/src/decide/route/dispatch_tasks.ts
@@ -0,0 +1,53 @@
+import type { TaskQueue } from "../order/task_queue.ts";
+import { earnRetry } from "../retry/earn_retry.ts";
+import { chooseFreeEndpoint } from "./choose_free_endpoint.ts";
+import { computeFreeSlots } from "./compute_free_slots.ts";
+import type { Dispatch } from "./dispatch.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import { startQueuedTask } from "./start_queued_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Gives waiting tasks to free slots until either runs out. */
+export function dispatchTasks(
+  scheduler: SchedulerState,
+  nowMs: number,
+): Dispatch[] {
+  const dispatches: Dispatch[] = [];
+  for (const [name, queue] of scheduler.queues) {
+    const bound = scheduler.endpoints.get(name);
+    let dispatch = dispatchNext(scheduler, queue, { bound, name, nowMs });
+    while (dispatch) {
+      dispatches.push(dispatch);
+      dispatch = dispatchNext(scheduler, queue, { bound, name, nowMs });
+    }
+  }
+  return dispatches;
+}
+
+function dispatchNext(
+  scheduler: SchedulerState,
+  queue: TaskQueue,
+  options: { bound?: EndpointState; name: string; nowMs: number },
+): Dispatch | undefined {
+  const { bound, name, nowMs } = options;
+  const open = bound ? [bound] : scheduler.byService.get(name) ?? [];
+  const free = open.filter((one) => computeFreeSlots(one) > 0);
+  if (free.length === 0) return undefined;
+  const next = queue.peek(scheduler.clients);
+  if (!next) return undefined;
+  const task = next.job.tasks[next.index];
+  const untried = free.filter((one) => !task.triedEndpoints.includes(one.id));
+  const endpoint = chooseFreeEndpoint(scheduler.policy.routing, {
+    free: untried.length > 0 ? untried : free,
+    open,
+    random: scheduler.random,
+  });
+  if (!endpoint) return undefined;
+  queue.pop(scheduler.clients);
+  if (bound) bound.boundMs = Math.max(0, bound.boundMs - task.expectedMs);
+  if (task.attempts === 0) {
+    earnRetry(scheduler.retries, scheduler.policy.retryRatio);
+  }
+  startQueuedTask(scheduler, next, { endpoint, nowMs, free: free.length });
+  return { job: next.job, index: next.index, endpointId: endpoint.id };
+}
--- /dev/null
+++ b/src/decide/route/endpoint_phase.ts
@@ -0,0 +1,2 @@
+/** The states of charts/endpoint.json. */
+export type EndpointPhase = "healthy" | "ejected" | "probing";
--- /dev/null
+++ b/src/entry/apply_view.ts
@@ -0,0 +1,44 @@
+import { advanceChart } from "../charts/advance_chart.ts";
+import { processChart } from "../charts/process_chart.ts";
+import { applyVersion } from "../decide/entry/apply_version.ts";
+import { checkConfiguration } from "../config/check_configuration.ts";
+import { readError } from "../errors/read_error.ts";
+import type { ViewMessage } from "../peer/view_message.ts";
+import type { TableRow } from "../platform/table_row.ts";
+import { decide } from "./decide.ts";
+import type { EntryContext } from "./entry_context.ts";
+
+/** Takes over what is newer in a message of the control daemon. */
+export function applyView(context: EntryContext, message: ViewMessage): void {
+  if (message.configuration !== "") applyConfiguration(context, message);
+  const { view } = context;
+  for (const row of message.leases) mergeRow(view.leases, row);
+  for (const row of message.shards) mergeRow(view.shards, row);
+  view.leavingAddresses = message.leavingAddresses;
+}
+
+function applyConfiguration(context: EntryContext, message: ViewMessage): void {
+  const { version } = message;
+  try {
+    const configuration = checkConfiguration(JSON.parse(message.configuration));
+    decide(context, (state) => applyVersion(state, { version, configuration }));
+    if (context.phase === "starting" && context.state.version.version > 0) {
+      context.phase = advanceChart(processChart, context.phase, "ready");
+    }
+    context.logger.info("versionInForce", {
+      version: context.state.version.version,
+    });
+  } catch (thrown) {
+    const { message: found } = readError(thrown);
+    context.logger.error("versionUnusable", { version, message: found });
+  }
+}
+
+/** A row only ever moves to a higher revision. */
+function mergeRow<Value>(
+  rows: Map<string, TableRow<Value>>,
+  row: TableRow<Value>,
+): void {
+  const known = rows.get(row.key);
+  if (!known || row.revision > known.revision) rows.set(row.key, row);
+}
--- /dev/null
+++ b/src/entry/create_caller_app.ts
@@ -0,0 +1,185 @@
+import { Hono } from "hono";
+import type { Context } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { isTokenValid } from "../auth/is_token_valid.ts";
+import { findOperator } from "../auth/find_operator.ts";
+import { computeRequestDigest } from "../decide/job/compute_request_digest.ts";
+import type { JobAnswer } from "../decide/job/job_answer.ts";
+import { computeAnswerStatus } from "./compute_answer_status.ts";
+import { createJobRequest } from "./create_job_request.ts";
+import { describeEntry } from "./describe_entry.ts";
+import type { EntryContext } from "./entry_context.ts";
+import { findJob } from "./find_job.ts";
+import { formatAnswerBody } from "./format_answer_body.ts";
+import { isEntryReady } from "./is_entry_ready.ts";
+import { receiveJob } from "./receive_job.ts";
+import { createSubmissionSchema } from "./create_submission_schema.ts";
+import { stopJob } from "./stop_job.ts";
+
+/** Longest wait of a question about a job, in ms. */
+const MOST_QUERY_WAIT_MS = 60_000;
+/** Added to the deadline when a caller names no wait, in ms. */
+const PAST_DEADLINE_MS = 2_000;
+
+/** Creates the HTTP interface for callers. */
+export function createCallerApp(context: EntryContext): Hono {
+  const app = new Hono();
+  const schema = createSubmissionSchema(context.settings);
+  const limit = bodyLimit({
+    maxSize: context.settings.maxRequestBytes,
+    onError: (http) =>
+      refuseInput(http, 413, {
+        kind: "requestTooLarge",
+        message:
+          `The body is over ${context.settings.maxRequestBytes} bytes; split the job`,
+      }),
+  });
+
+  app.get("/health", (http) => {
+    const ready = isEntryReady(context);
+    return http.json({ ready }, ready ? 200 : 503);
+  });
+
+  app.get("/status", (http) => {
+    const { configuration } = context.state.version;
+    const header = http.req.header("authorization");
+    if (!findOperator(configuration, header)) return refuseToken(http);
+    return http.json(describeEntry(context));
+  });
+
+  app.post("/drain", (http) => {
+    const { configuration } = context.state.version;
+    const header = http.req.header("authorization");
+    const operator = findOperator(configuration, header);
+    if (!operator) return refuseToken(http);
+    context.logger.info("drainAsked", { operator });
+    context.requestStop();
+    return http.json({ stopping: true }, 202);
+  });
+
+  app.post("/v1/jobs", limit, async (http) => {
+    const submission = schema.safeParse(await readJson(http));
+    if (!submission.success) {
+      return refuseInput(http, 400, {
+        kind: "requestInvalid",
+        message: describeIssues(submission.error.issues),
+      });
+    }
+    const { client, deadlineMs } = submission.data;
+    if (!isClientToken(context, http, client)) return refuseToken(http);
+    const request = createJobRequest(submission.data);
+    const answer = await receiveJob(context, {
+      request,
+      digest: computeRequestDigest(request),
+      waitMs: submission.data.waitMs ?? deadlineMs + PAST_DEADLINE_MS,
+      hops: 0,
+    });
+    return sendAnswer(http, submission.data, answer);
+  });
+
+  app.get("/v1/jobs/:client/:id", async (http) => {
+    const job = readJobName(http);
+    if (!isClientToken(context, http, job.client)) return refuseToken(http);
+    const waitMs = Number(http.req.query("waitMs") ?? 0) || 0;
+    const { answer } = await findJob(context, {
+      ...job,
+      waitMs: Math.min(waitMs, MOST_QUERY_WAIT_MS),
+      hops: 0,
+      ownOnly: false,
+      explain: false,
+    });
+    return sendAnswer(http, job, answer);
+  });
+
+  app.get("/v1/jobs/:client/:id/record", async (http) => {
+    const job = readJobName(http);
+    if (!isClientToken(context, http, job.client)) return refuseToken(http);
+    const { answer, record } = await findJob(context, {
+      ...job,
+      waitMs: 0,
+      hops: 0,
+      ownOnly: false,
+      explain: true,
+    });
+    if (record === "") return sendAnswer(http, job, answer);
+    return http.body(record, 200, { "content-type": "application/json" });
+  });
+
+  app.delete("/v1/jobs/:client/:id", async (http) => {
+    const job = readJobName(http);
+    if (!isClientToken(context, http, job.client)) return refuseToken(http);
+    const answer = await stopJob(context, { ...job, hops: 0 });
+    return sendAnswer(http, job, answer);
+  });
+
+  return app;
+}
+
+function readJobName(http: Context): { client: string; submissionId: string } {
+  return {
+    client: http.req.param("client") ?? "",
+    submissionId: http.req.param("id") ?? "",
+  };
+}
+
+async function readJson(http: Context): Promise<unknown> {
+  try {
+    return await http.req.json();
+  } catch {
+    return undefined;
+  }
+}
+
+function describeIssues(
+  issues: { path: PropertyKey[]; message: string }[],
+): string {
+  const found = issues
+    .slice(0, 10)
+    .map((issue) => `${issue.path.join(".") || "(body)"}: ${issue.message}`);
+  return `The job is not valid JSON of the documented shape: ${
+    found.join("; ")
+  }. Correct it and submit again`;
+}
+
+function isClientToken(
+  context: EntryContext,
+  http: Context,
+  client: string,
+): boolean {
+  const configured = context.state.version.configuration.clients[client];
+  const header = http.req.header("authorization");
+  const noDigest = "0".repeat(64);
+  const digest = configured?.tokenDigest ?? noDigest;
+  return isTokenValid(header, digest) && configured !== undefined;
+}
+
+function refuseToken(http: Context): Response {
+  return refuseInput(http, 401, {
+    kind: "tokenInvalid",
+    message:
+      "The token does not fit the name; send 'Authorization: Bearer TOKEN' with the token that the operators gave out",
+  });
+}
+
+function refuseInput(
+  http: Context,
+  status: 400 | 401 | 413,
+  failure: { kind: string; message: string },
+): Response {
+  return http.json({ status: "refused", failure, notRun: true }, status);
+}
+
+function sendAnswer(
+  http: Context,
+  job: { client: string; submissionId: string },
+  answer: JobAnswer,
+): Response {
+  const headers: Record<string, string> = {
+    "content-type": "application/json",
+  };
+  if ("retryAfterMs" in answer && answer.retryAfterMs !== undefined) {
+    headers["retry-after"] = String(Math.ceil(answer.retryAfterMs / 1_000));
+  }
+  const status = computeAnswerStatus(answer);
+  return http.body(formatAnswerBody(job, answer), status, headers);
+}
--- /dev/null
+++ b/src/entry/entry_context.ts
@@ -0,0 +1,34 @@
+import type { EntryState } from "../decide/entry/entry_state.ts";
+import type { JobAnswer } from "../decide/job/job_answer.ts";
+import type { OwnershipView } from "../decide/own/ownership_view.ts";
+import type { EndpointSender } from "../endpoint/endpoint_sender.ts";
+import type { Logger } from "../log/logger.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import type { createPeerPool } from "../peer/create_peer_pool.ts";
+import type { Platform } from "../platform/platform.ts";
+import type { ProcessPhase } from "../charts/process_phase.ts";
+import type { EntrySettings } from "../settings/entry_settings.ts";
+
+/** What the parts of a running entry share. */
+export type EntryContext = {
+  settings: EntrySettings;
+  /** The process's name among its peers: its peer address. */
+  name: string;
+  incarnation: string;
+  state: EntryState;
+  view: OwnershipView;
+  platform: Platform;
+  logger: Logger;
+  metrics: Metrics;
+  peers: ReturnType<typeof createPeerPool>;
+  senders: Map<string, EndpointSender>;
+  /** Callers that wait for an answer, by id. */
+  callers: Map<string, (answer: JobAnswer) => void>;
+  nextCaller: number;
+  /** Where the process is in its life: see charts/process.json. */
+  phase: ProcessPhase;
+  /** Begins a planned stop, as an operator asked over HTTP. */
+  requestStop: () => void;
+  /** Says that something may be written now. */
+  wakeWriter: () => void;
+};
--- /dev/null
+++ b/src/entry/find_sender.ts
@@ -0,0 +1,20 @@
+import { createEndpointSender } from "../endpoint/create_endpoint_sender.ts";
+import type { EndpointSender } from "../endpoint/endpoint_sender.ts";
+import type { EntryContext } from "./entry_context.ts";
+
+/** Finds, or creates, the sender of an endpoint; undefined when no version has named it. */
+export function findSender(
+  context: EntryContext,
+  endpointId: string,
+): EndpointSender | undefined {
+  const known = context.senders.get(endpointId);
+  if (known) return known;
+  const configured = context.state.version.configuration.endpoints[endpointId];
+  if (!configured) return undefined;
+  const sender = createEndpointSender(configured.url, {
+    connections: Math.min(configured.slots, configured.connections),
+    maxReplyBytes: context.settings.maxReplyBytes,
+  });
+  context.senders.set(endpointId, sender);
+  return sender;
+}
--- /dev/null
+++ b/src/entry/is_entry_ready.ts
@@ -0,0 +1,9 @@
+import { isLeaseValid } from "../decide/own/is_lease_valid.ts";
+import { readClock } from "../utils/read_clock.ts";
+import type { EntryContext } from "./entry_context.ts";
+
+/** Whether the platform's balancer should send requests here. */
+export function isEntryReady(context: EntryContext): boolean {
+  if (context.phase !== "serving") return false;
+  return isLeaseValid(context.state.lease, readClock());
+}
--- /dev/null
+++ b/src/entry/parse_job_key.ts
@@ -0,0 +1,10 @@
+/** Parses a job's key into the client and the submission id. */
+export function parseJobKey(
+  key: string,
+): { client: string; submissionId: string } {
+  const separator = key.indexOf("/");
+  return {
+    client: key.slice(0, separator),
+    submissionId: key.slice(separator + 1),
+  };
+}
--- /dev/null
+++ b/src/entry/run_commands.ts
@@ -0,0 +1,37 @@
+import { match } from "ts-pattern";
+import type { EntryCommand } from "../decide/entry/entry_command.ts";
+import { askOwner } from "./ask_owner.ts";
+import type { EntryContext } from "./entry_context.ts";
+import { findSender } from "./find_sender.ts";
+import { readAnswer } from "./read_answer.ts";
+import { startTask } from "./start_task.ts";
+
+/** Carries out the commands that decisions left in the outbox. */
+export function runCommands(context: EntryContext): void {
+  const commands = context.state.outbox;
+  context.state.outbox = [];
+  for (const command of commands) runCommand(context, command);
+}
+
+function runCommand(context: EntryContext, command: EntryCommand): void {
+  match(command)
+    .with({ type: "startTask" }, (start) => startTask(context, start))
+    .with({ type: "cancelTask" }, ({ endpointId, taskKey }) => {
+      context.metrics.increment("task.cancel");
+      findSender(context, endpointId)?.cancel(taskKey);
+    })
+    .with({ type: "answerCaller" }, ({ callerId, answer }) => {
+      context.callers.get(callerId)?.(answer);
+      context.callers.delete(callerId);
+    })
+    .with({ type: "askOwner" }, (ask) => {
+      askOwner(context, ask);
+    })
+    .with({ type: "readAnswer" }, (read) => {
+      readAnswer(context, read);
+    })
+    .with({ type: "report" }, ({ message, key }) => {
+      context.logger.warn("decisionReport", { message, job: key });
+    })
+    .exhaustive();
+}
--- /dev/null
+++ b/src/entry/store_answers.ts
@@ -0,0 +1,58 @@
+import { formatLogKey } from "../decide/claim/format_log_key.ts";
+import type { ShardState } from "../decide/own/shard_state.ts";
+import { readError } from "../errors/read_error.ts";
+import type { EntryContext } from "./entry_context.ts";
+
+/**
+ * Stores the answers of an append's completed jobs as one object, for
+ * resubmissions. The append names the object and does not wait for it; a
+ * missing object reads as an answer that is no longer kept.
+ */
+export function storeAnswers(
+  context: EntryContext,
+  shard: ShardState,
+  append: NonNullable<ShardState["inFlight"]>,
+): void {
+  const answers = collectAnswers(context, append);
+  if (Object.keys(answers).length === 0) return;
+  const place = {
+    dataCentre: context.state.dataCentre,
+    shard: shard.index,
+    epoch: shard.epoch,
+  };
+  const object = `answers/${formatLogKey(place, append.sequence)}`;
+  nameObject(context, append, { object, answers });
+  context.metrics.increment("platform.putAnswers");
+  context.platform.objects.put(object, JSON.stringify(answers)).catch(
+    (thrown) => {
+      const { message } = readError(thrown);
+      context.logger.warn("answersNotStored", { shard: shard.index, message });
+    },
+  );
+}
+
+function nameObject(
+  context: EntryContext,
+  append: NonNullable<ShardState["inFlight"]>,
+  options: { object: string; answers: Record<string, string[]> },
+): void {
+  for (const record of append.records) {
+    if (record.type !== "complete" || !options.answers[record.key]) continue;
+    record.answer = options.object;
+    const job = context.state.jobs.get(record.key);
+    if (job) job.answerObject = options.object;
+  }
+}
+
+function collectAnswers(
+  context: EntryContext,
+  append: NonNullable<ShardState["inFlight"]>,
+): Record<string, string[]> {
+  const answers: Record<string, string[]> = {};
+  for (const record of append.records) {
+    if (record.type !== "complete" || record.answer) continue;
+    const answer = context.state.jobs.get(record.key)?.answer;
+    if (answer?.status === "complete") answers[record.key] = answer.results;
+  }
+  return answers;
+}
--- /dev/null
+++ b/src/entry/write_commits.ts
@@ -0,0 +1,135 @@
+import { applyCommit } from "../decide/entry/apply_commit.ts";
+import { loseShard } from "../decide/entry/lose_shard.ts";
+import { takeCommit } from "../decide/entry/take_commit.ts";
+import { formatLogKey } from "../decide/claim/format_log_key.ts";
+import type { LogRow } from "../decide/claim/log_row.ts";
+import type { ShardState } from "../decide/own/shard_state.ts";
+import { readError } from "../errors/read_error.ts";
+import { formatRowKey } from "../platform/format_row_key.ts";
+import type { TableOperation } from "../platform/table_operation.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import { createWritePacer } from "./create_write_pacer.ts";
+import { decide } from "./decide.ts";
+import type { EntryContext } from "./entry_context.ts";
+import { storeAnswers } from "./store_answers.ts";
+
+/** Pause after a failed append, in ms. */
+const FAILED_PAUSE_MS = 200;
+/** Longest sleep of the writer without being woken, in ms. */
+const IDLE_MS = 1_000;
+
+/** Appends claims and outcomes to the logs until the entry stops: one row at a time carries all that came in meanwhile. */
+export async function writeCommits(context: EntryContext): Promise<void> {
+  const pace = createWritePacer(context);
+  while (context.phase !== "stopped") {
+    const shard = findWaitingShard(context);
+    if (!shard) {
+      await waitForWork(context);
+      continue;
+    }
+    await pace();
+    await writeShard(context, shard);
+    dropFinishedShards(context);
+  }
+}
+
+function findWaitingShard(context: EntryContext): ShardState | undefined {
+  const { shards, retired } = context.state;
+  return [...shards.values(), ...retired].find((shard) =>
+    shard.phase !== "loading" && shard.phase !== "lost" &&
+    (shard.inFlight !== undefined || shard.pending.length > 0)
+  );
+}
+
+function waitForWork(context: EntryContext): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, IDLE_MS);
+    context.wakeWriter = () => {
+      if (!findWaitingShard(context)) return;
+      clearTimeout(timer);
+      context.wakeWriter = () => {};
+      resolve();
+    };
+  });
+}
+
+async function writeShard(
+  context: EntryContext,
+  shard: ShardState,
+): Promise<void> {
+  const append = takeCommit(shard);
+  if (!append) return;
+  try {
+    storeAnswers(context, shard, append);
+    const sentAtMs = performance.now();
+    const result = await context.platform.table.transact(
+      createOperations(context, shard, append),
+    );
+    context.metrics.increment("platform.append");
+    context.metrics.time("platform.append", performance.now() - sentAtMs);
+    const isOurs = result.type === "committed" ||
+      isEarlierAppend(context, shard, { append, keys: result.keys });
+    if (isOurs) decide(context, (state) => applyCommit(state, shard));
+    else fenceOff(context, shard);
+  } catch (thrown) {
+    context.logger.warn("appendUnconfirmed", {
+      shard: shard.index,
+      epoch: shard.epoch,
+      message: readError(thrown).message,
+    });
+    await waitMs(FAILED_PAUSE_MS);
+  }
+}
+
+function createOperations(
+  context: EntryContext,
+  shard: ShardState,
+  append: NonNullable<ShardState["inFlight"]>,
+): TableOperation[] {
+  const { dataCentre } = context.state;
+  const place = { dataCentre, shard: shard.index, epoch: shard.epoch };
+  const value: LogRow = {
+    owner: context.name,
+    incarnation: context.incarnation,
+    records: append.records,
+  };
+  const insert: TableOperation = {
+    type: "insert",
+    key: formatLogKey(place, append.sequence),
+    value,
+  };
+  if (shard.phase === "released") return [insert];
+  const key = formatRowKey("shard", `${dataCentre}/${shard.index}`);
+  return [{ type: "check", key, revision: shard.revision }, insert];
+}
+
+/** Only this process writes rows of its epoch, so a row that is there is this append, whose reply was lost. */
+function isEarlierAppend(
+  context: EntryContext,
+  shard: ShardState,
+  options: { append: NonNullable<ShardState["inFlight"]>; keys: string[] },
+): boolean {
+  const { dataCentre } = context.state;
+  const place = { dataCentre, shard: shard.index, epoch: shard.epoch };
+  const logKey = formatLogKey(place, options.append.sequence);
+  return options.keys.every((key) => key === logKey);
+}
+
+function fenceOff(context: EntryContext, shard: ShardState): void {
+  context.logger.error("shardLost", {
+    shard: shard.index,
+    epoch: shard.epoch,
+    message: "Another process has taken the shard; its open jobs fail here",
+  });
+  decide(context, (state, clock) => {
+    if (shard.phase === "released" || shard.phase === "lost") return;
+    loseShard(state, shard, clock.monotonicMs);
+  });
+}
+
+function dropFinishedShards(context: EntryContext): void {
+  const { state } = context;
+  state.retired = state.retired.filter((shard) =>
+    shard.openJobs > 0 || shard.pending.length > 0 || shard.inFlight
+  );
+}
--- /dev/null
+++ b/src/entry/write_lease.ts
@@ -0,0 +1,79 @@
+import type { LeaseRow } from "../decide/own/lease_row.ts";
+import { formatRowKey } from "../platform/format_row_key.ts";
+import type { TableOperation } from "../platform/table_operation.ts";
+import type { EntryContext } from "./entry_context.ts";
+import { findFormerShards } from "./find_former_shards.ts";
+
+/** What became of writing the lease row. */
+type Written =
+  | { type: "committed"; revision: number; atMs: number }
+  | { type: "conflict" };
+
+/** Writes the process's lease row; a write of its own whose reply was lost counts as confirmed. */
+export async function writeLease(
+  context: EntryContext,
+  value: LeaseRow,
+): Promise<Written> {
+  const { table } = context.platform;
+  const key = formatRowKey("lease", context.name);
+  const { revision } = context.state.lease;
+  if (revision === 0) return await acquireLease(context, key, value);
+  const result = await table.transact([{
+    type: "replace",
+    key,
+    value,
+    revision,
+  }]);
+  if (result.type === "committed") return result;
+  return await adoptOwnWrite(context, key, value);
+}
+
+/** The row may hold an earlier renewal of this incarnation, whose reply was lost. */
+async function adoptOwnWrite(
+  context: EntryContext,
+  key: string,
+  value: LeaseRow,
+): Promise<Written> {
+  const { table } = context.platform;
+  const scan = await table.scan(key, 0);
+  const row = scan.rows.find((one) => one.key === key);
+  const found = row?.value as LeaseRow | undefined;
+  const ours = found?.incarnation === value.incarnation &&
+    found.state !== "ended";
+  if (!row || !ours) return { type: "conflict" };
+  const { revision } = row;
+  const result = await table.transact([{
+    type: "replace",
+    key,
+    value,
+    revision,
+  }]);
+  return result.type === "committed" ? result : { type: "conflict" };
+}
+
+/**
+ * Begins a lease under the process's name. An earlier incarnation at the same
+ * address is dead, since this process listens there now; the shards it still
+ * holds are taken over in the same transaction.
+ */
+async function acquireLease(
+  context: EntryContext,
+  key: string,
+  value: LeaseRow,
+): Promise<Written> {
+  const { table } = context.platform;
+  const scan = await table.scan(key, 0);
+  const row = scan.rows.find((one) => one.key === key);
+  const lease: TableOperation = row
+    ? { type: "replace", key, value, revision: row.revision }
+    : { type: "insert", key, value };
+  const former = row ? row.value as LeaseRow : undefined;
+  const shards = former
+    ? await findFormerShards(context, { former, platformNowMs: scan.atMs })
+    : [];
+  const result = await table.transact([lease, ...shards]);
+  if (result.type === "conflict") {
+    throw new Error("The lease row changed while it was acquired");
+  }
+  return result;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,31 @@
+import { cac } from "cac";
+import { addAuditCommand } from "./cli/add_audit_command.ts";
+import { addCancelCommand } from "./cli/add_cancel_command.ts";
+import { addCheckCommand } from "./cli/add_check_command.ts";
+import { addControlCommand } from "./cli/add_control_command.ts";
+import { addDrainCommand } from "./cli/add_drain_command.ts";
+import { addEntryCommand } from "./cli/add_entry_command.ts";
+import { addJobCommand } from "./cli/add_job_command.ts";
+import { addPatchCommand } from "./cli/add_patch_command.ts";
+import { addStatusCommand } from "./cli/add_status_command.ts";
+import { addSubmitCommand } from "./cli/add_submit_command.ts";
+import { addVersionsCommand } from "./cli/add_versions_command.ts";
+import { runCli } from "./cli/run_cli.ts";
+import { VERSION } from "./version.ts";
+
+const cli = cac("chivegrade");
+addEntryCommand(cli);
+addControlCommand(cli);
+addCheckCommand(cli);
+addPatchCommand(cli);
+addVersionsCommand(cli);
+addAuditCommand(cli);
+addSubmitCommand(cli);
+addJobCommand(cli);
+addCancelCommand(cli);
+addDrainCommand(cli);
+addStatusCommand(cli);
+cli.help();
+cli.version(VERSION);
+
+runCli(cli, process.argv);
--- /dev/null
+++ b/src/peer/load_peer_services.ts
@@ -0,0 +1,20 @@
+import { loadPackageDefinition } from "@grpc/grpc-js";
+import type { GrpcObject, ServiceClientConstructor } from "@grpc/grpc-js";
+import { fromJSON } from "@grpc/proto-loader";
+import descriptor from "./generated/peer_descriptor.json" with { type: "json" };
+
+/** Loads the gRPC services that the processes serve one another. */
+export function loadPeerServices(): {
+  entry: ServiceClientConstructor;
+  control: ServiceClientConstructor;
+} {
+  const definition = fromJSON(
+    descriptor as Parameters<typeof fromJSON>[0],
+    { longs: Number, enums: String, defaults: true, arrays: true },
+  );
+  const root = loadPackageDefinition(definition).chivegrade as GrpcObject;
+  return {
+    entry: root.Entry as ServiceClientConstructor,
+    control: root.Control as ServiceClientConstructor,
+  };
+}
--- /dev/null
+++ b/src/utils/binary_heap.ts
@@ -0,0 +1,80 @@
+/** A binary min-heap ordered by a rank that each item is pushed with. */
+export class BinaryHeap<Item> {
+  #items: Item[] = [];
+  #ranks: number[] = [];
+
+  /** How many items the heap holds. */
+  get size(): number {
+    return this.#items.length;
+  }
+
+  /** Adds an item; the lowest rank comes out first. */
+  push(item: Item, rank: number): void {
+    this.#items.push(item);
+    this.#ranks.push(rank);
+    this.#siftUp(this.#items.length - 1);
+  }
+
+  /** Returns the item of the lowest rank without removing it. */
+  peek(): Item | undefined {
+    return this.#items[0];
+  }
+
+  /** Removes and returns the item of the lowest rank. */
+  pop(): Item | undefined {
+    const top = this.#items[0];
+    const lastItem = this.#items.pop();
+    const lastRank = this.#ranks.pop();
+    if (this.#items.length > 0) {
+      this.#items[0] = lastItem as Item;
+      this.#ranks[0] = lastRank as number;
+      this.#siftDown(0);
+    }
+    return top;
+  }
+
+  /** Removes all items and returns them in no particular order. */
+  drain(): Item[] {
+    const items = this.#items;
+    this.#items = [];
+    this.#ranks = [];
+    return items;
+  }
+
+  #siftUp(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (this.#ranks[parent] <= this.#ranks[index]) return;
+      this.#swap(parent, index);
+      index = parent;
+    }
+  }
+
+  #siftDown(start: number): void {
+    let index = start;
+    while (true) {
+      const left = 2 * index + 1;
+      const right = left + 1;
+      let least = index;
+      if (left < this.size && this.#ranks[left] < this.#ranks[least]) {
+        least = left;
+      }
+      if (right < this.size && this.#ranks[right] < this.#ranks[least]) {
+        least = right;
+      }
+      if (least === index) return;
+      this.#swap(least, index);
+      index = least;
+    }
+  }
+
+  #swap(one: number, other: number): void {
+    const item = this.#items[one];
+    this.#items[one] = this.#items[other];
+    this.#items[other] = item;
+    const rank = this.#ranks[one];
+    this.#ranks[one] = this.#ranks[other];
+    this.#ranks[other] = rank;
+  }
+}
--- /dev/null
+++ b/stand_ins/endpoint/start_endpoint.ts
@@ -0,0 +1,143 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EndpointBehaviour } from "./endpoint_behaviour.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+
+/** Run time of a task whose body names none, in ms. */
+const DEFAULT_RUN_MS = 50;
+
+/** What an endpoint stand-in saw. */
+type EndpointLog = {
+  records: EndpointRecord[];
+  refusals: number;
+  requests: number;
+  cancels: number;
+  mostConnections: number;
+  mostRunning: number;
+};
+
+/**
+ * Starts an endpoint stand-in on a port (0 for a free one). A task's body may
+ * name `runMs` and `fail`; GET /log tells what was seen, PUT /behaviour changes it.
+ */
+export async function startEndpoint(
+  port: number,
+  behaviour: EndpointBehaviour,
+): Promise<{
+  url: string;
+  behaviour: EndpointBehaviour;
+  log: EndpointLog;
+  stop(): Promise<void>;
+}> {
+  const log: EndpointLog = {
+    records: [],
+    refusals: 0,
+    requests: 0,
+    cancels: 0,
+    mostConnections: 0,
+    mostRunning: 0,
+  };
+  const running = new Map<string, () => void>();
+  let connections = 0;
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request);
+    if (request.url === "/log") return send(response, 200, log);
+    if (request.url === "/behaviour") {
+      Object.assign(behaviour, JSON.parse(body));
+      return send(response, 200, behaviour);
+    }
+    if (request.method === "DELETE") return cancel(request, response);
+    runTask(request, response, body);
+  }
+
+  function cancel(request: IncomingMessage, response: ServerResponse): void {
+    log.cancels += 1;
+    const key = (request.url ?? "").split("/").at(-1) ?? "";
+    running.get(decodeURIComponent(key))?.();
+    send(response, 200, {});
+  }
+
+  function runTask(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    log.requests += 1;
+    if (behaviour.mode === "refuse" || running.size >= behaviour.slots) {
+      log.refusals += 1;
+      return send(response, 429, {
+        status: "refused",
+        message: "no free slot",
+      });
+    }
+    const header = String(request.headers["idempotency-key"] ?? "");
+    const taskKey = decodeURIComponent(header);
+    const record: EndpointRecord = {
+      taskKey,
+      attempt: Number(request.headers["x-task-attempt"]),
+      startedAtMs: Date.now(),
+      outcome: "running",
+    };
+    log.records.push(record);
+    if (behaviour.mode === "fail") {
+      record.outcome = "failed";
+      return send(response, 500, { status: "failed", message: "broken" });
+    }
+    const task = JSON.parse(body || "null") ?? {};
+    const runMs = (task.runMs ?? DEFAULT_RUN_MS) * behaviour.slowness;
+    const timer = setTimeout(() => end(task.fail ? "failed" : "done"), runMs);
+    const end = (outcome: EndpointRecord["outcome"]) => {
+      clearTimeout(timer);
+      running.delete(taskKey);
+      record.outcome = outcome;
+      if (behaviour.mode === "hang") return;
+      if (outcome === "done") send(response, 200, { ran: task.value ?? null });
+      else send(response, 500, { status: "failed", message: outcome });
+    };
+    running.set(taskKey, () => end("cancelled"));
+    log.mostRunning = Math.max(log.mostRunning, running.size);
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response);
+  });
+  server.keepAliveTimeout = 30_000;
+  server.on("connection", (socket) => {
+    connections += 1;
+    log.mostConnections = Math.max(log.mostConnections, connections);
+    socket.on("close", () => connections -= 1);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(port, "127.0.0.1", resolve);
+  });
+  const address = server.address() as { port: number };
+  return {
+    url: `http://127.0.0.1:${address.port}/tasks`,
+    behaviour,
+    log,
+    stop: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function send(response: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString("utf8");
+}
