Bench: load and experiment tool with the naive version, six routing ways and a report

Cause: no policy could be weighed without figures.

Change: bench/ drives real entries and stand-in endpoints, open loop, seeded, HDR histograms, JSON records, a table, an HTML page; the naive version is a process of its own. Fuzz oracle also checks that nothing starts past a lease.

--- /dev/null
+++ b/bench/run_record.ts
@@ -0,0 +1,60 @@
+/** Quantiles of a ratio or a time. */
+export type Quantiles = {
+  p50: number;
+  p90: number;
+  p99: number;
+  p999: number;
+  count: number;
+};
+
+/** The record of one run; see docs/MEASURES.md for what each figure means. */
+export type RunRecord = {
+  scenario: string;
+  way: string;
+  seed: number;
+  shards: number;
+  entries: number;
+  /** Task response over ideal. */
+  taskRatio: Quantiles;
+  /** Task response over ideal of tasks under 300 ms. */
+  shortTaskRatio: Quantiles;
+  /** Job response over ideal. */
+  jobRatio: Quantiles;
+  /** Job response less its longest task, in ms. */
+  jobOverheadMs: Quantiles;
+  /** Job response over ideal of the first client alone. */
+  guildJobRatio: Quantiles;
+  /** Time to a refusal, in ms. */
+  refusalMs: Quantiles;
+  jobs: {
+    sent: number;
+    complete: number;
+    failed: number;
+    refused: number;
+    broken: number;
+  };
+  /** How many jobs ended with each kind of failure. */
+  kinds: Record<string, number>;
+  /** Tasks of complete jobs over the capacity of the time that jobs arrived in. */
+  goodput: number;
+  /** Messages to endpoints beyond one out and one back a task, per task. */
+  extraMessages: number;
+  extra: { refusals: number; failures: number; cancels: number };
+  mostConnections: number;
+  mostRunningOverSlots: number;
+  /** Per complete job. */
+  platform: { transactions: number; objectWrites: number; scans: number };
+  platformPerSecond: {
+    transactions: number;
+    objectWrites: number;
+    scans: number;
+  };
+  /** Starts a second over the cores that the entries used. */
+  startsPerCoreSecond: number;
+  startsPerSecond: number;
+  entryCores: number;
+  busiestEntryCores: number;
+  controlCores: number;
+  entryRssMb: number;
+  controlRssMb: number;
+};
--- /dev/null
+++ b/bench/usage.ts
@@ -0,0 +1,2 @@
+/** What a process has used so far. */
+export type Usage = { cpuMs: number; rssBytes: number };
--- a/demo/start_demo.ts
+++ b/demo/start_demo.ts
@@ -17,8 +17,18 @@
 }> {
   const platform = await startPlatform(0);
   const endpoints = [
-    await startEndpoint(0, { slots: 8, slowness: 1, mode: "run" }),
-    await startEndpoint(0, { slots: 8, slowness: 1.5, mode: "run" }),
+    await startEndpoint(0, {
+      slots: 8,
+      slowness: 1,
+      overflow: "refuse",
+      mode: "run",
+    }),
+    await startEndpoint(0, {
+      slots: 8,
+      slowness: 1.5,
+      overflow: "refuse",
+      mode: "run",
+    }),
   ];
   const control = await startControl(controlSettingsSchema.parse({
     role: "control",
--- a/scripts/build_bundles.ts
+++ b/scripts/build_bundles.ts
@@ -1,9 +1,13 @@
 import { build } from "esbuild";
 
-/** Bundles the product and the stand-ins for tests that start real processes. */
+/** Bundles the product, the stand-ins and the naive version for tests and benches that start real processes. */
 export async function buildBundles(): Promise<void> {
   await build({
-    entryPoints: { chivegrade: "src/main.ts", stand_ins: "stand_ins/main.ts" },
+    entryPoints: {
+      chivegrade: "src/main.ts",
+      stand_ins: "stand_ins/main.ts",
+      naive: "bench/naive/main.ts",
+    },
     bundle: true,
     platform: "node",
     target: "node20",
--- a/stand_ins/endpoint/start_endpoint.ts
+++ b/stand_ins/endpoint/start_endpoint.ts
@@ -18,7 +18,7 @@
 
 /**
  * Starts an endpoint stand-in on a port (0 for a free one). A task's body may
- * name `runMs` and `fail`; GET /log tells what was seen, PUT /behaviour changes it.
+ * name `runMs` and `fail`; GET /log and GET /counts tell what was seen, PUT /behaviour changes it.
  */
 export async function startEndpoint(
   port: number,
@@ -38,6 +38,7 @@
     mostRunning: 0,
   };
   const running = new Map<string, () => void>();
+  const waiting: (() => void)[] = [];
   let connections = 0;
 
   async function handle(
@@ -50,7 +51,12 @@
       Object.assign(behaviour, JSON.parse(body));
       return send(response, 200, behaviour);
     }
+    if (request.url === "/counts") {
+      const { records, ...counts } = log;
+      return send(response, 200, { ...counts, starts: records.length });
+    }
     if (request.method === "DELETE") return cancel(request, response);
+    log.requests += 1;
     runTask(request, response, body);
   }
 
@@ -66,8 +72,12 @@
     response: ServerResponse,
     body: string,
   ): void {
-    log.requests += 1;
-    if (behaviour.mode === "refuse" || running.size >= behaviour.slots) {
+    const isFull = running.size >= behaviour.slots;
+    if (isFull && behaviour.overflow === "queue") {
+      waiting.push(() => runTask(request, response, body));
+      return;
+    }
+    if (behaviour.mode === "refuse" || isFull) {
       log.refusals += 1;
       return send(response, 429, {
         status: "refused",
@@ -93,11 +103,14 @@
     const end = (outcome: EndpointRecord["outcome"]) => {
       clearTimeout(timer);
       running.delete(taskKey);
+      waiting.shift()?.();
       record.outcome = outcome;
       if (behaviour.mode === "hang") return;
-      if (outcome === "done") send(response, 200, { ran: task.value ?? null });
+      if (outcome === "done") sendDone();
       else send(response, 500, { status: "failed", message: outcome });
     };
+    const sendDone = () =>
+      send(response, 200, { ran: task.value ?? null, endedAtMs: Date.now() });
     running.set(taskKey, () => end("cancelled"));
     log.mostRunning = Math.max(log.mostRunning, running.size);
   }
--- a/stand_ins/main.ts
+++ b/stand_ins/main.ts
@@ -3,7 +3,7 @@
 import { startPlatform } from "./platform/start_platform.ts";
 
 const USE =
-  "use: platform [--port N] | endpoint [--port N] [--slots N] [--slowness X]";
+  "use: platform [--port N] | endpoint [--port N] [--slots N] [--slowness X] | endpoints --specification SLOTS:SLOWNESS,... [--overflow queue]";
 
 const { positionals, values } = parseArgs({
   allowPositionals: true,
@@ -11,6 +11,8 @@
     port: { type: "string", default: "0" },
     slots: { type: "string", default: "8" },
     slowness: { type: "string", default: "1" },
+    specification: { type: "string", default: "" },
+    overflow: { type: "string", default: "refuse" },
   },
 });
 const port = Number(values.port);
@@ -25,9 +27,12 @@
     const { url } = await startEndpoint(port, {
       slots: Number(values.slots),
       slowness: Number(values.slowness),
+      overflow: readOverflow(),
       mode: "run",
     });
     printReady(url);
+  } else if (name === "endpoints") {
+    printReady((await startEndpoints()).join(","));
   } else {
     process.stderr.write(`${USE}\n`);
     process.exitCode = 2;
@@ -37,3 +42,23 @@
 function printReady(url: string): void {
   process.stdout.write(JSON.stringify({ ready: url }) + "\n");
 }
+
+function readOverflow(): "refuse" | "queue" {
+  return values.overflow === "queue" ? "queue" : "refuse";
+}
+
+async function startEndpoints(): Promise<string[]> {
+  const urls: string[] = [];
+  for (const one of values.specification.split(",")) {
+    const [slots, slowness] = one.split(":").map(Number);
+    const overflow = readOverflow();
+    const endpoint = await startEndpoint(0, {
+      slots,
+      slowness,
+      overflow,
+      mode: "run",
+    });
+    urls.push(endpoint.url);
+  }
+  return urls;
+}
--- a/test/fuzz/fake_endpoint.ts
+++ b/test/fuzz/fake_endpoint.ts
@@ -1,3 +1,5 @@
+import { readClock } from "../../src/utils/read_clock.ts";
+import { isLeaseValid } from "../../src/decide/own/is_lease_valid.ts";
 import type { AttemptOutcome } from "../../src/decide/job/attempt_outcome.ts";
 import type { EndpointSender } from "../../src/endpoint/endpoint_sender.ts";
 import type { TaskSend } from "../../src/endpoint/task_send.ts";
@@ -46,6 +48,9 @@
     if (Date.now() > this.leavingSinceMs && !entry.isCutOff()) {
       this.oracle.violations.push(`${this.id} got a task while leaving`);
     }
+    if (!isLeaseValid(entry.context.state.lease, readClock())) {
+      this.oracle.violations.push(`${task.taskKey} started past the lease`);
+    }
     this.#running += 1;
     const { mode } = this;
     await waitMs(mode === "fail" ? 1 : body.runMs);
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -8,6 +8,7 @@
     runs: { type: "string", default: "100" },
     seed: { type: "string", default: "1" },
     path: { type: "string" },
+    "no-shrink": { type: "boolean", default: false },
   },
 });
 const totals = { histories: 0, starts: 0, complete: 0, failed: 0, refused: 0 };
@@ -29,7 +30,7 @@
   numRuns: Number(values.runs),
   seed: Number(values.seed),
   path: values.path,
-  interruptAfterTimeLimit: undefined,
+  endOnFailure: values["no-shrink"],
 });
 console.log(`seed ${values.seed}: ${JSON.stringify(totals)}`);
 if (result.failed) {
