A dead holder is replaced within seconds: a refused connection proves it dead

Ruled out: the membership list as proof (it lags); taking over at once without proof (a holder that is only cut off may start jobs from memory).

Conclusion: safe under the stated assumption, which a policy turns off.

--- a/bench/compute_quantiles.ts
+++ b/bench/compute_quantiles.ts
@@ -1,5 +1,5 @@
 import { build } from "hdr-histogram-js";
-import type { Quantiles } from "./run_record.ts";
+import type { Quantiles } from "./quantiles.ts";
 
 /** Values are kept to a thousandth. */
 const SCALE = 1_000;
--- a/bench/inject_fault.ts
+++ b/bench/inject_fault.ts
@@ -30,7 +30,7 @@
           several.map((_, index) => [`e${index}`, { leaving: true }]),
         ),
       }))
-    .with("killEntry", () => killHolder(system))
+    .with("killEntry", () => stopHolder(system))
     .with(
       "slowPlatform",
       () => setFaults(system, { delayMs: SLOW_PLATFORM_MS }),
@@ -57,7 +57,7 @@
   });
 }
 
-async function killHolder(system: BenchSystem): Promise<void> {
+async function stopHolder(system: BenchSystem): Promise<void> {
   const path = "/table/rows?prefix=live/shard/&since=0";
   const reply = await fetch(system.platformUrl + path);
   const { rows } = await reply.json();
--- a/bench/run_scenario.ts
+++ b/bench/run_scenario.ts
@@ -1,6 +1,6 @@
 import { computeQuantiles } from "./compute_quantiles.ts";
 import { createArrivals } from "./create_arrivals.ts";
-import { driveLoad } from "./drive_load.ts";
+import { sendLoad } from "./send_load.ts";
 import { injectFault } from "./inject_fault.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { RunRecord } from "./run_record.ts";
@@ -53,7 +53,7 @@
   const platformBefore = await readPlatformCounts(system);
   const startedAtMs = performance.now();
   let usageAtEnd = before;
-  const outcomes = await driveLoad(scenario, arrivals, {
+  const outcomes = await sendLoad(scenario, arrivals, {
     urls: system.urls,
     onStart: () => {
       for (const { atMs, act } of scenario.faults ?? []) {
@@ -71,7 +71,7 @@
     tookMs,
     before,
     after: usageAtEnd,
-    platform: subtract(platformAfter, platformBefore),
+    platform: computeDifference(platformAfter, platformBefore),
   });
 }
 
@@ -94,7 +94,7 @@
   }));
 }
 
-function subtract(after: PlatformCounts, before: PlatformCounts) {
+function computeDifference(after: PlatformCounts, before: PlatformCounts) {
   return {
     transactions: after.transactions - before.transactions,
     objectWrites: after.objectWrites - before.objectWrites,
@@ -116,13 +116,15 @@
 ): RunRecord {
   const { outcomes, counts, tookMs, before, after, platform } = run;
   const complete = outcomes.filter((one) => one.status === "complete");
-  const starts = sum(counts.map((one) => one.starts));
-  const completeTasks = sum(complete.map((one) => one.arrival.runMs.length));
+  const starts = computeSum(counts.map((one) => one.starts));
+  const completeTasks = computeSum(
+    complete.map((one) => one.arrival.runMs.length),
+  );
   const cpuMs = after.entries.map((usage, index) =>
     Math.max(0, usage.cpuMs - before.entries[index].cpuMs)
   );
-  const refusals = sum(counts.map((one) => one.refusals));
-  const cancels = sum(counts.map((one) => one.cancels));
+  const refusals = computeSum(counts.map((one) => one.refusals));
+  const cancels = computeSum(counts.map((one) => one.cancels));
   const failures = Math.max(0, starts - completeTasks);
   const slots = scenario.endpoints.flatMap((group) =>
     Array.from({ length: group.count }, () => group.slots)
@@ -180,9 +182,9 @@
       objectWrites: perSecond(platform.objectWrites),
       scans: perSecond(platform.scans),
     },
-    startsPerCoreSecond: starts * 1_000 / Math.max(1, sum(cpuMs)),
+    startsPerCoreSecond: starts * 1_000 / Math.max(1, computeSum(cpuMs)),
     startsPerSecond: perSecond(starts),
-    entryCores: sum(cpuMs) / tookMs,
+    entryCores: computeSum(cpuMs) / tookMs,
     busiestEntryCores: Math.max(...cpuMs) / tookMs,
     controlCores: after.control && before.control
       ? (after.control.cpuMs - before.control.cpuMs) / tookMs
@@ -204,8 +206,10 @@
 /** Work done while jobs arrived, of jobs that were complete in the end. */
 function computeGoodput(scenario: Scenario, complete: JobOutcome[]): number {
   const { durationMs } = scenario;
-  const workMs = sum(complete.map((one) => computeWorkWithin(one, durationMs)));
-  const perMs = sum(
+  const workMs = computeSum(
+    complete.map((one) => computeWorkWithin(one, durationMs)),
+  );
+  const perMs = computeSum(
     scenario.endpoints.map(({ count, slots, slowness }) =>
       count * slots / slowness
     ),
@@ -215,7 +219,7 @@
 
 function computeWorkWithin(outcome: JobOutcome, durationMs: number): number {
   const { runMs, atMs } = outcome.arrival;
-  return sum(
+  return computeSum(
     runMs.filter((_, index) => atMs + outcome.taskMs[index] <= durationMs),
   );
 }
@@ -228,6 +232,6 @@
   return kinds;
 }
 
-function sum(values: number[]): number {
+function computeSum(values: number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/bench/drive_load.ts
+++ b/bench/send_load.ts
@@ -16,7 +16,7 @@
 };
 
 /** Sends every arrival at its time, to the entries in turn, and collects what became of each. */
-export async function driveLoad(
+export async function sendLoad(
   scenario: Scenario,
   arrivals: Arrival[],
   options: { urls: () => string[]; onStart: () => void },
--- a/bench/slopes/create_slope.ts
+++ b/bench/slopes/create_slope.ts
@@ -8,14 +8,14 @@
 ): Slope {
   const fits: Slope["fits"] = {};
   for (const key of Object.keys(points[0].values)) {
-    fits[key] = fitLine(
+    fits[key] = computeLine(
       points.map(({ size, values }) => ({ x: size, y: values[key] })),
     );
   }
   return { name, unit, points, fits };
 }
 
-function fitLine(
+function computeLine(
   points: { x: number; y: number }[],
 ): { perUnit: number; base: number } {
   const count = points.length;
--- a/bench/slopes/measure_control_slope.ts
+++ b/bench/slopes/measure_control_slope.ts
@@ -37,7 +37,7 @@
   const platform = await spawnProcess("stand_ins", ["platform"]);
   const url = platform.ready.ready;
   const control = await startControl(url);
-  await patch(control.ready.ready, createConfiguration(entries));
+  await postPatch(control.ready.ready, createConfiguration(entries));
   const renewals = setInterval(() => renewLeases(url, entries), RENEWAL_MS);
   await waitMs(SETTLE_MS);
   const before = { ...readUsage(control.pid), bytes: readBytes(control.pid) };
@@ -73,7 +73,7 @@
   return await spawnProcess("chivegrade", ["control", file]);
 }
 
-async function patch(url: string, change: object): Promise<void> {
+async function postPatch(url: string, change: object): Promise<void> {
   const reply = await fetch(`${url}/patches`, {
     method: "POST",
     headers: { authorization: "Bearer ada-token" },
--- a/bench/start_system.ts
+++ b/bench/start_system.ts
@@ -44,7 +44,7 @@
     bootstrapTokenDigest: computeDigest("ada-token"),
   });
   let version = 0;
-  async function patch(change: object): Promise<void> {
+  async function postPatch(change: object): Promise<void> {
     const reply = await fetch(`${control.ready.ready}/patches`, {
       method: "POST",
       headers: { authorization: "Bearer ada-token" },
@@ -59,7 +59,7 @@
     version += 1;
   }
 
-  await patch(createFirstPatch(scenario, endpointUrls, options.policy));
+  await postPatch(createFirstPatch(scenario, endpointUrls, options.policy));
   const entries: SpawnedProcess[] = [];
   for (let index = 0; index < scenario.entries; index += 1) {
     entries.push(
@@ -83,7 +83,7 @@
     control,
     platformUrl: platform.ready.ready,
     endpointUrls,
-    patch,
+    patch: postPatch,
     stop: () => {
       for (const one of processes) one.signal("SIGKILL");
     },
--- a/src/config/compute_changes.ts
+++ b/src/config/compute_changes.ts
@@ -1,3 +1,4 @@
+import { isPlainObject } from "../utils/is_plain_object.ts";
 import type { ConfigurationChange } from "./configuration_change.ts";
 
 /** Computes the leaves that differ between two configurations. */
@@ -6,7 +7,7 @@
   after: unknown,
   path = "",
 ): ConfigurationChange[] {
-  if (!isObject(before) || !isObject(after)) {
+  if (!isPlainObject(before) || !isPlainObject(after)) {
     const same = JSON.stringify(before) === JSON.stringify(after);
     return same ? [] : [{ path, before, after }];
   }
@@ -15,7 +16,3 @@
     computeChanges(before[key], after[key], path ? `${path}.${key}` : key)
   );
 }
-
-function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
--- a/src/config/configuration_schema.ts
+++ b/src/config/configuration_schema.ts
@@ -56,7 +56,6 @@
     "leastExpectedWork",
     "sharedQueue",
     "sharedQueueFastest",
-    "sharedQueueHold",
   ]).default("sharedQueueFastest"),
   /** Whether a repeatable task that ran and failed is run again. @default "repeatable" */
   retryAfterFailure: z.enum(["repeatable", "never"]).default("repeatable"),
@@ -74,6 +73,8 @@
   cancelWorthMs: z.int().min(0).default(500),
   /** How long a process lease lasts without renewal, in ms. @default 10000 */
   leaseMs: z.int().min(1000).max(3_600_000).default(10_000),
+  /** Take a process whose address refuses connections for dead, before its lease ends. @default true */
+  takeOverRefused: z.boolean().default(true),
   /** How far the clocks of the platform and of any two entry VMs may be apart, in ms. @default 500 */
   clockSkewMs: z.int().min(0).max(60_000).default(500),
   /** How long a submission id is remembered, in ms. @default 3600000 */
--- a/src/decide/admit/admit_job.ts
+++ b/src/decide/admit/admit_job.ts
@@ -87,7 +87,7 @@
         retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS,
       });
     }
-    const waitMs = estimateWait(scheduler, service, { request, client, rate });
+    const waitMs = computeWait(scheduler, service, { request, client, rate });
     const boundMs = Math.min(policy.maxQueueMs, request.deadlineMs);
     if (waitMs > boundMs) {
       return refuse("overloaded", {
@@ -101,7 +101,7 @@
   return { type: "admitted", expectedMs, workMs };
 }
 
-function estimateWait(
+function computeWait(
   scheduler: SchedulerState,
   service: string,
   options: { request: JobRequest; client: ClientConfiguration; rate: number },
--- a/src/decide/entry/answer_known.ts
+++ b/src/decide/entry/answer_known.ts
@@ -1,5 +1,5 @@
 import type { KnownSubmission } from "../claim/known_submission.ts";
-import { createRefusal } from "../job/create_refusal.ts";
+import { createReusedAnswer } from "../job/create_reused_answer.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Answers a submission from what the shard's log says about it. */
@@ -10,10 +10,7 @@
 ): void {
   const { callerId, key, digest } = submission;
   if (digest !== undefined && known.digest !== digest) {
-    const answer = createRefusal("submissionReused", {
-      message:
-        "The submission id was used before with other tasks; choose a new id",
-    });
+    const answer = createReusedAnswer();
     state.outbox.push({ type: "answerCaller", callerId, answer });
   } else if (known.status === "open") {
     const { owner, incarnation } = known;
--- a/src/decide/entry/has_due_records.ts
+++ b/src/decide/entry/has_due_records.ts
@@ -7,10 +7,10 @@
 export function hasDueRecords(shard: ShardState, nowMs: number): boolean {
   if (shard.phase === "loading" || shard.phase === "lost") return false;
   if (shard.inFlight || shard.claims.length > 0) return true;
-  return areOutcomesDue(shard, nowMs);
+  return hasDueOutcomes(shard, nowMs);
 }
 
-function areOutcomesDue(shard: ShardState, nowMs: number): boolean {
+function hasDueOutcomes(shard: ShardState, nowMs: number): boolean {
   if (shard.outcomes.length === 0) return false;
   if (shard.phase !== "active") return true;
   return nowMs - shard.outcomesSinceMs >= OUTCOME_DELAY_MS;
--- a/src/decide/own/decide_ownership.ts
+++ b/src/decide/own/decide_ownership.ts
@@ -1,5 +1,7 @@
 import { chooseHolders } from "./choose_holders.ts";
 import { isLeaseOver } from "./is_lease_over.ts";
+import type { TableRow } from "../../platform/table_row.ts";
+import type { LeaseRow } from "./lease_row.ts";
 import type { OwnershipAction } from "./ownership_action.ts";
 import type { OwnershipView } from "./ownership_view.ts";
 
@@ -37,7 +39,7 @@
       if (dataCentre !== self.dataCentre || state !== "live") return false;
       const host = address.slice(0, address.lastIndexOf(":"));
       if (view.leavingAddresses.includes(host)) return false;
-      return !isLeaseOver(row, platformNowMs);
+      return isLive(view, row, platformNowMs);
     })
     .map(([name, row]) => ({ name, weight: row.value.weight }));
 }
@@ -61,8 +63,17 @@
   if (preferred !== self.name) return undefined;
   const lease = view.leases.get(holder);
   const replaced = lease?.value.incarnation !== incarnation;
-  if (!lease || replaced || isLeaseOver(lease, platformNowMs)) {
+  if (!lease || replaced || !isLive(view, lease, platformNowMs)) {
     return { type: "acquire", shard, from: holder };
   }
   return undefined;
 }
+
+function isLive(
+  view: OwnershipView,
+  lease: TableRow<LeaseRow>,
+  platformNowMs: number,
+): boolean {
+  if (view.provedDead.has(lease.value.incarnation)) return false;
+  return !isLeaseOver(lease, platformNowMs);
+}
--- a/src/decide/own/ownership_view.ts
+++ b/src/decide/own/ownership_view.ts
@@ -10,6 +10,8 @@
   shards: Map<string, TableRow<ShardRow>>;
   /** Addresses of VMs that the platform lists as leaving. */
   leavingAddresses: string[];
+  /** Incarnations that are certainly dead, whatever their leases say. */
+  provedDead: Set<string>;
   /** Platform time less this process's monotonic time, in ms. */
   platformOffsetMs: number;
 };
--- a/src/decide/route/dispatch_tasks.ts
+++ b/src/decide/route/dispatch_tasks.ts
@@ -39,7 +39,6 @@
   const untried = free.filter((one) => !task.triedEndpoints.includes(one.id));
   const endpoint = chooseFreeEndpoint(scheduler.policy.routing, {
     free: untried.length > 0 ? untried : free,
-    open,
     random: scheduler.random,
   });
   if (!endpoint) return undefined;
--- a/src/entry/acquire_shard.ts
+++ b/src/entry/acquire_shard.ts
@@ -48,7 +48,7 @@
   const window = lost && createSuspectWindow(lost, {
     platformNowMs,
     skewMs: context.state.version.configuration.policy.clockSkewMs,
-    provedDead: false,
+    provedDead: context.view.provedDead.has(lost.value.incarnation),
   });
   const windows = old?.windows ?? [];
   return {
--- a/src/entry/ask_owner.ts
+++ b/src/entry/ask_owner.ts
@@ -52,6 +52,7 @@
 function isOwnerLive(context: EntryContext, ask: AskOwner): boolean {
   const lease = context.view.leases.get(ask.owner);
   if (lease?.value.incarnation !== ask.incarnation) return false;
+  if (context.view.provedDead.has(ask.incarnation)) return false;
   const { monotonicMs } = readClock();
   return !isLeaseOver(lease, monotonicMs + context.view.platformOffsetMs);
 }
--- a/src/entry/create_entry_context.ts
+++ b/src/entry/create_entry_context.ts
@@ -15,6 +15,7 @@
     | "logger"
     | "metrics"
     | "callPeer"
+    | "probeAddress"
     | "createSender"
     | "requestStop"
   >,
@@ -36,6 +37,7 @@
       leases: new Map(),
       shards: new Map(),
       leavingAddresses: [],
+      provedDead: new Set(),
       platformOffsetMs: clock.wallMs - clock.monotonicMs,
     },
     senders: new Map(),
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from "../metrics/metrics.ts";
 import type { PeerCall } from "../peer/peer_call.ts";
 import type { AnswerMessage } from "../peer/answer_message.ts";
+import type { ProbeResult } from "../peer/probe_result.ts";
 import type { Platform } from "../platform/platform.ts";
 import type { ProcessPhase } from "../charts/process_phase.ts";
 import type { EntrySettings } from "../settings/entry_settings.ts";
@@ -24,6 +25,8 @@
   metrics: Metrics;
   /** Calls another entry. */
   callPeer: (address: string, call: PeerCall) => Promise<AnswerMessage>;
+  /** Finds out whether anything listens on an address. */
+  probeAddress: (address: string) => Promise<ProbeResult>;
   createSender: (endpoint: EndpointConfiguration) => EndpointSender;
   senders: Map<string, EndpointSender>;
   /** Callers that wait for an answer, by id. */
--- a/src/entry/follow_view.ts
+++ b/src/entry/follow_view.ts
@@ -29,7 +29,7 @@
   }) as unknown as WatchClient;
   let closed = false;
 
-  function watch(): void {
+  function follow(): void {
     if (closed) return;
     const stream = client.watchView({ entry: context.name });
     let ended = false;
@@ -38,13 +38,13 @@
       if (ended) return;
       ended = true;
       context.logger.debug("viewLost", { address: controlAddress });
-      setTimeout(watch, RECONNECT_MS);
+      setTimeout(follow, RECONNECT_MS);
     };
     stream.on("error", retry);
     stream.on("end", retry);
   }
 
-  watch();
+  follow();
   return () => {
     closed = true;
     client.close();
--- a/src/entry/keep_shards.ts
+++ b/src/entry/keep_shards.ts
@@ -8,6 +8,7 @@
 import type { EntryContext } from "./entry_context.ts";
 import { handOverShard } from "./hand_over_shard.ts";
 import { loadHeldShards } from "./load_held_shards.ts";
+import { probeSilentHolders } from "./probe_silent_holders.ts";
 
 /** How often ownership is looked at, in ms. */
 const LOOK_MS = 100;
@@ -32,6 +33,7 @@
   const { configuration } = context.state.version;
   await loadHeldShards(context);
   const platformNowMs = clock.monotonicMs + context.view.platformOffsetMs;
+  await probeSilentHolders(context, platformNowMs);
   const actions = decideOwnership(
     context.view,
     { name: context.name, dataCentre, leaving: context.isNoticed },
--- a/src/entry/load_held_shards.ts
+++ b/src/entry/load_held_shards.ts
@@ -71,6 +71,7 @@
 ): Set<string> {
   const live = [...context.view.leases.values()]
     .filter((row) => !isLeaseOver(row, platformNowMs))
-    .map((row) => row.value.incarnation);
+    .map((row) => row.value.incarnation)
+    .filter((incarnation) => !context.view.provedDead.has(incarnation));
   return new Set([...live, context.incarnation]);
 }
--- a/src/entry/start_entry.ts
+++ b/src/entry/start_entry.ts
@@ -6,6 +6,7 @@
 import { callPeer } from "../peer/call_peer.ts";
 import { createPeerPool } from "../peer/create_peer_pool.ts";
 import { loadPeerServices } from "../peer/load_peer_services.ts";
+import { probeAddress } from "../peer/probe_address.ts";
 import { startPeerServer } from "../peer/start_peer_server.ts";
 import { createHttpPlatform } from "../platform/create_http_platform.ts";
 import type { EntrySettings } from "../settings/entry_settings.ts";
@@ -79,6 +80,7 @@
         request,
         timeoutMs,
       }),
+    probeAddress,
     createSender: ({ url, slots, connections }) =>
       createEndpointSender(url, {
         connections: Math.min(slots, connections),
--- a/src/entry/write_lease.ts
+++ b/src/entry/write_lease.ts
@@ -37,11 +37,9 @@
   value: LeaseRow,
 ): Promise<Written> {
   const { table } = context.platform;
-  const scan = await table.scan(key, 0);
-  const row = scan.rows.find((one) => one.key === key);
-  const found = row?.value as LeaseRow | undefined;
-  const ours = found?.incarnation === value.incarnation &&
-    found.state !== "ended";
+  const { row } = await readRow(context, key);
+  const ours = row?.value.incarnation === value.incarnation &&
+    row.value.state !== "ended";
   if (!row || !ours) return { type: "conflict" };
   const { revision } = row;
   const result = await table.transact([{
@@ -65,15 +63,13 @@
   value: LeaseRow,
 ): Promise<Written> {
   const { table } = context.platform;
-  const scan = await table.scan(key, 0);
-  const row = scan.rows.find((one) => one.key === key);
-  const first = { ...value, ackedAtMs: scan.atMs, coveredUntilMs: scan.atMs };
+  const { row, atMs } = await readRow(context, key);
+  const first = { ...value, ackedAtMs: atMs, coveredUntilMs: atMs };
   const lease: TableOperation = row
     ? { type: "replace", key, value: first, revision: row.revision }
     : { type: "insert", key, value: first };
-  const former = row as TableRow<LeaseRow> | undefined;
-  const shards = former
-    ? await findFormerShards(context, { former, platformNowMs: scan.atMs })
+  const shards = row
+    ? await findFormerShards(context, { former: row, platformNowMs: atMs })
     : [];
   const result = await table.transact([lease, ...shards]);
   if (result.type === "conflict") {
@@ -83,6 +79,15 @@
   return result;
 }
 
+async function readRow(
+  context: EntryContext,
+  key: string,
+): Promise<{ row: TableRow<LeaseRow> | undefined; atMs: number }> {
+  const scan = await context.platform.table.scan(key, 0);
+  const row = scan.rows.find((one) => one.key === key);
+  return { row: row as TableRow<LeaseRow> | undefined, atMs: scan.atMs };
+}
+
 /** Shards taken over along with the lease are served before the next view. */
 async function readShardRows(context: EntryContext): Promise<void> {
   const { dataCentre } = context.settings;
--- /dev/null
+++ b/src/utils/is_plain_object.ts
@@ -0,0 +1,6 @@
+/** Whether a JSON value is an object, not an array. */
+export function isPlainObject(
+  value: unknown,
+): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
--- a/test/fuzz/fake_entry.ts
+++ b/test/fuzz/fake_entry.ts
@@ -5,6 +5,8 @@
   context: EntryContext;
   dataCentre: string;
   isDead: boolean;
+  /** Whether its VM went with it, so that its address is silent. */
+  isLostWithVm: boolean;
   /** Whether it takes new callers. */
   isOpen: boolean;
   /** Requests of callers that it has not answered. */
--- /dev/null
+++ b/test/style/style_test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { describe, test } from "node:test";
+
+const FOLDERS = ["src", "stand_ins", "bench", "demo"];
+
+function listFiles(): string[] {
+  return FOLDERS.flatMap((folder) =>
+    readdirSync(folder, { recursive: true, encoding: "utf8" })
+      .filter((file) => file.endsWith(".ts"))
+      .map((file) => join(folder, file))
+  );
+}
+
+function listVerbs(): string[] {
+  const page = readFileSync("docs/STYLE.md", "utf8");
+  const [, section] = page.split("## Verbs that functions begin with");
+  const [list] = section.split("`is`, `has` and `can` return");
+  return [...list.matchAll(/`(\w+)`/g)].map((match) => match[1]);
+}
+
+describe("the house style", () => {
+  test("a file has one export at most", () => {
+    const crowded = listFiles().filter((file) => {
+      const exports = readFileSync(file, "utf8").match(/^export /gm) ?? [];
+      return exports.length > 1;
+    });
+
+    assert.deepEqual(crowded, []);
+  });
+
+  test("functions begin with a verb of the list in docs/STYLE.md", () => {
+    const verbs = listVerbs();
+    const others = listFiles().flatMap((file) =>
+      [...readFileSync(file, "utf8").matchAll(/function (\w+)/g)]
+        .map((match) => match[1])
+        .filter((name) => !verbs.includes(/^[a-z]+/.exec(name)?.[0] ?? ""))
+        .map((name) => `${file}: ${name}`)
+    );
+
+    assert.deepEqual(others, []);
+  });
+});
