--- a/bench/send_load.ts
+++ b/bench/send_load.ts
@@ -21,7 +21,7 @@
   arrivals: Arrival[],
   options: { urls: () => string[]; onStart: () => void },
 ): Promise<JobOutcome[]> {
-  const agent = new Agent({ connections: 512, pipelining: 1 });
+  const agent = new Agent({ connections: null, pipelining: 1 });
   const outcomes: Promise<JobOutcome>[] = [];
   const startedAtMs = performance.now();
   options.onStart();
