--- a/bench/slopes/measure_control_slope.ts
+++ b/bench/slopes/measure_control_slope.ts
@@ -2,7 +2,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { stringify } from "smol-toml";
+import type { LeaseRow } from "../../src/decide/own/lease_row.ts";
 import { formatRowKey } from "../../src/platform/format_row_key.ts";
+import type { ScanResult } from "../../src/platform/scan_result.ts";
 import { computeDigest } from "../../src/utils/compute_digest.ts";
 import { waitMs } from "../../src/utils/wait_ms.ts";
 import { spawnProcess } from "../../test/fixtures/spawn_process.ts";
@@ -14,7 +16,6 @@
 const SETTLE_MS = 3_000;
 /** Every entry renews its lease this often at the default lease, in ms. */
 const RENEWAL_MS = 1_000;
-const CHANGE_MS = 95_000;
 const BYTES_PER_MB = 1_048_576;
 const ENDPOINTS_PER_ENTRY = 11;
 
@@ -25,9 +26,7 @@
     points.push({ size, values: await measure(size) });
   }
   return createSlope(
-    `control daemon, a change of the configuration every ${
-      CHANGE_MS / 1_000
-    } s worked in`,
+    "control daemon, every lease renewed once a second",
     "entries",
     points,
   );
@@ -103,31 +102,41 @@
   };
 }
 
-let renewal = 0;
-
+/** Renews every lease row, as that many entries would between them. */
 async function renewLeases(url: string, entries: number): Promise<void> {
-  renewal += 1;
+  const prefix = formatRowKey("lease");
+  const scan = await fetch(`${url}/table/rows?prefix=${prefix}&since=0`);
+  const { rows, atMs } = await scan.json() as ScanResult;
   const operations = Array.from({ length: entries }, (_, index) => {
     const key = formatRowKey("lease", `10.0.0.${index}:7401`);
-    const value = {
-      incarnation: crypto.randomUUID(),
-      address: `10.0.0.${index}:7401`,
-      controlAddress: `10.0.0.${index}:7501`,
-      dataCentre: "north",
-      weight: 1,
-      state: "live",
-      leaseMs: 10_000,
-      ackedAtMs: renewal,
-      coveredUntilMs: renewal,
-      clean: false,
-    };
-    return [{ type: "delete", key }, { type: "insert", key, value }];
+    const row = rows.find((one) => one.key === key);
+    const value = createLease(index, atMs);
+    return row
+      ? { type: "replace", key, value, revision: row.revision }
+      : { type: "insert", key, value };
   });
-  await fetch(`${url}/table/transactions`, {
+  const reply = await fetch(`${url}/table/transactions`, {
     method: "POST",
     headers: { "content-type": "application/json" },
-    body: JSON.stringify({ operations: operations.flat() }),
+    body: JSON.stringify({ operations }),
   });
+  const { type } = await reply.json();
+  if (type !== "committed") throw new Error("the leases were not renewed");
+}
+
+function createLease(index: number, atMs: number): LeaseRow {
+  return {
+    incarnation: "00000000-0000-4000-8000-000000000000",
+    address: `10.0.0.${index}:7401`,
+    controlAddress: `10.0.0.${index}:7501`,
+    dataCentre: "north",
+    weight: 1,
+    state: "live",
+    leaseMs: 10_000,
+    ackedAtMs: atMs,
+    coveredUntilMs: atMs,
+    clean: false,
+  };
 }
 
 /** Bytes read and written by a process; a control daemon has nothing but sockets to read. */
