--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -130,6 +130,8 @@
       peerServer: { stop: () => Promise.resolve() },
       peers: { close: () => {} },
       unfollow: () => {},
+    }).catch((error) => {
+      if (!entry.isDead) this.oracle.violations.push(`drain: ${error}`);
     });
   }
 
