A patched endpoint gets its tasks at its new address; defects are logged

Cause: reading as a newcomer: an entry kept the sender of an endpoint for ever, so an endpoint patched to another address went on getting tasks at the old one; and a step that a chart does not allow would have ended the process.

Ruled out: closing the old sender at once (it would lose what is in flight).

Change: senders of changed or removed endpoints are closed once idle; a failed decision is logged as decisionFailed, and is a violation in the fuzzer; the bench prints the claim's part; unused command and field removed, constants that stood three times are one.

--- a/bench/run_record.ts
+++ b/bench/run_record.ts
@@ -15,6 +15,8 @@
   jobRatio: Quantiles;
   /** Job response less its longest task, in ms. */
   jobOverheadMs: Quantiles;
+  /** Mean time of an append to the log, which every claim waits for, in ms. */
+  claimMs: number;
   /** Job response over ideal of the first client alone. */
   guildJobRatio: Quantiles;
   /** Time to a refusal, in ms. */
--- a/bench/run_scenario.ts
+++ b/bench/run_scenario.ts
@@ -65,9 +65,11 @@
   usageAtEnd = readUsages(system);
   const platformAfter = await readPlatformCounts(system);
   const counts = await readEndpointCounts(system);
+  const claimMs = await readClaimMs(system);
   return createRecord(scenario, options, {
     outcomes,
     counts,
+    claimMs,
     tookMs,
     before,
     after: usageAtEnd,
@@ -88,6 +90,22 @@
   return await (await fetch(`${system.platformUrl}/counts`)).json();
 }
 
+/** Reads the mean append of the entry that made the most. */
+async function readClaimMs(system: BenchSystem): Promise<number> {
+  const appends = { count: 0, meanMs: 0 };
+  for (const url of system.urls()) {
+    const reply = await fetch(`${url}/status`, {
+      headers: { authorization: "Bearer ada-token" },
+    });
+    if (!reply.ok) continue;
+    const status = await reply.json();
+    if (status.appends.count > appends.count) {
+      Object.assign(appends, status.appends);
+    }
+  }
+  return appends.meanMs;
+}
+
 async function readEndpointCounts(system: BenchSystem): Promise<Counts[]> {
   return await Promise.all(system.endpointUrls.map(async (url) => {
     return await (await fetch(new URL("/counts", url))).json();
@@ -108,6 +126,7 @@
   run: {
     outcomes: JobOutcome[];
     counts: Counts[];
+    claimMs: number;
     tookMs: number;
     before: ReturnType<typeof readUsages>;
     after: ReturnType<typeof readUsages>;
@@ -149,6 +168,7 @@
     jobOverheadMs: computeQuantiles(
       complete.map((one) => one.responseMs - Math.max(...one.arrival.runMs)),
     ),
+    claimMs: run.claimMs,
     guildJobRatio: computeQuantiles(
       complete.filter((one) => one.arrival.client === "guild")
         .map(computeJobRatio),
--- a/src/decide/entry/entry_command.ts
+++ b/src/decide/entry/entry_command.ts
@@ -30,6 +30,4 @@
     key: string;
   }
   /** Read a kept answer from the object store. */
-  | { type: "readAnswer"; callerId: string; object: string; key: string }
-  /** Something that a person should know. */
-  | { type: "report"; message: string; key?: string };
+  | { type: "readAnswer"; callerId: string; object: string; key: string };
--- a/src/decide/own/confirm_lease.ts
+++ b/src/decide/own/confirm_lease.ts
@@ -26,7 +26,6 @@
   const { sentAt, leaseMs } = confirmation;
   lease.validUntilMonotonicMs = sentAt.monotonicMs + leaseMs;
   lease.validUntilWallMs = sentAt.wallMs + leaseMs;
-  lease.confirmedAtMs = confirmation.receivedAt.monotonicMs;
   lease.heardAtMs = confirmation.receivedAt.monotonicMs;
   lease.ackedAtMs = confirmation.atMs;
   if (confirmation.unwritten === 0) lease.coveredUntilMs = confirmation.atMs;
--- a/src/decide/own/create_lease_state.ts
+++ b/src/decide/own/create_lease_state.ts
@@ -10,7 +10,6 @@
     leaseMs: 0,
     validUntilMonotonicMs: 0,
     validUntilWallMs: 0,
-    confirmedAtMs: 0,
     heardAtMs: 0,
     ackedAtMs: 0,
     coveredUntilMs: 0,
--- a/src/decide/own/lease_state.ts
+++ b/src/decide/own/lease_state.ts
@@ -11,8 +11,6 @@
   validUntilMonotonicMs: number;
   /** And until then on the wall clock, which also runs while the VM is suspended. */
   validUntilWallMs: number;
-  /** When the latest confirmation came in, monotonic, in ms. */
-  confirmedAtMs: number;
   /** When the platform last answered a write of any kind, monotonic, in ms. */
   heardAtMs: number;
   /** Platform time of the latest confirmed renewal, in Unix ms. */
--- a/src/endpoint/create_endpoint_sender.ts
+++ b/src/endpoint/create_endpoint_sender.ts
@@ -41,6 +41,6 @@
         bodyTimeout: CANCEL_MS,
       }).then((reply) => reply.body.dump()).catch(() => {});
     },
-    close: () => pool.destroy(),
+    close: () => pool.close(),
   };
 }
--- a/src/endpoint/endpoint_sender.ts
+++ b/src/endpoint/endpoint_sender.ts
@@ -7,5 +7,6 @@
   send(task: TaskSend): Promise<AttemptOutcome>;
   /** Asks the endpoint to stop a running task; its reply ends the attempt. */
   cancel(taskKey: string): void;
+  /** Closes the connections once what is in flight has ended. */
   close(): Promise<void>;
 };
--- a/src/entry/apply_view.ts
+++ b/src/entry/apply_view.ts
@@ -6,6 +6,7 @@
 import type { ViewMessage } from "../peer/view_message.ts";
 import type { TableRow } from "../platform/table_row.ts";
 import { decide } from "./decide.ts";
+import { dropOldSenders } from "./drop_old_senders.ts";
 import type { EntryContext } from "./entry_context.ts";
 
 /** Takes over what is newer in a message of the control daemon. */
@@ -21,7 +22,10 @@
   const { version } = message;
   try {
     const configuration = checkConfiguration(JSON.parse(message.configuration));
-    decide(context, (state) => applyVersion(state, { version, configuration }));
+    decide(context, (state) => {
+      applyVersion(state, { version, configuration });
+      dropOldSenders(context);
+    });
     if (context.phase === "starting" && context.state.version.version > 0) {
       context.phase = advanceChart(processChart, context.phase, "ready");
     }
--- a/src/entry/create_entry_context.ts
+++ b/src/entry/create_entry_context.ts
@@ -45,6 +45,7 @@
     nextCaller: 1,
     phase: processChart.initial,
     isNoticed: false,
+    appends: { count: 0, totalMs: 0 },
     wakeWriter: () => {},
   };
 }
--- a/src/entry/decide.ts
+++ b/src/entry/decide.ts
@@ -2,17 +2,26 @@
 import { dispatchJobs } from "../decide/entry/dispatch_jobs.ts";
 import type { ClockReading } from "../utils/clock_reading.ts";
 import { readClock } from "../utils/read_clock.ts";
+import { readError } from "../errors/read_error.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { runCommands } from "./run_commands.ts";
 
-/** Makes one decision, sends what it freed, and carries the commands out. */
+/**
+ * Makes one decision, sends what it freed, and carries the commands out. A
+ * step that a chart does not allow is logged, and the process goes on.
+ */
 export function decide(
   context: EntryContext,
   change: (state: EntryState, clock: ClockReading) => void,
 ): void {
   const clock = readClock();
-  change(context.state, clock);
-  dispatchJobs(context.state, clock);
+  try {
+    change(context.state, clock);
+    dispatchJobs(context.state, clock);
+  } catch (thrown) {
+    const { message } = readError(thrown);
+    context.logger.error("decisionFailed", { message });
+  }
   runCommands(context);
   context.wakeWriter();
 }
--- a/src/entry/describe_entry.ts
+++ b/src/entry/describe_entry.ts
@@ -57,5 +57,9 @@
       open: share.open,
     })),
     attempts: state.attempts.size,
+    appends: {
+      count: context.appends.count,
+      meanMs: context.appends.totalMs / Math.max(1, context.appends.count),
+    },
   };
 }
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -28,7 +28,11 @@
   /** Finds out whether anything listens on an address. */
   probeAddress: (address: string) => Promise<ProbeResult>;
   createSender: (endpoint: EndpointConfiguration) => EndpointSender;
-  senders: Map<string, EndpointSender>;
+  /** Senders by endpoint, with the endpoint as it was when each was created. */
+  senders: Map<
+    string,
+    { configured: EndpointConfiguration; sender: EndpointSender }
+  >;
   /** Callers that wait for an answer, by id. */
   callers: Map<string, (answer: JobAnswer) => void>;
   nextCaller: number;
@@ -38,6 +42,8 @@
   isNoticed: boolean;
   /** Begins a planned stop, as an operator asked over HTTP. */
   requestStop: () => void;
+  /** Confirmed appends to the log, and the time that they took in all, in ms. */
+  appends: { count: number; totalMs: number };
   /** Says that something may be written now. */
   wakeWriter: () => void;
 };
--- a/src/entry/find_job.ts
+++ b/src/entry/find_job.ts
@@ -8,6 +8,8 @@
 import { createUnreachableAnswer } from "./create_unreachable_answer.ts";
 import { decide } from "./decide.ts";
 import { describeJob } from "./describe_job.ts";
+import { MOST_HOPS } from "./most_hops.ts";
+import { ANSWER_MARGIN_MS } from "./answer_margin_ms.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { findHolder } from "./find_holder.ts";
 import { findJobPlace } from "./find_job_place.ts";
@@ -27,9 +29,6 @@
 /** A job's answer, and its record where it was asked for. */
 type Found = { answer: JobAnswer; record: string };
 
-const MOST_HOPS = 3;
-const ANSWER_MARGIN_MS = 2_000;
-
 /** Finds out about a job, here or at the holder of its shard. */
 export async function findJob(
   context: EntryContext,
--- a/src/entry/find_sender.ts
+++ b/src/entry/find_sender.ts
@@ -7,10 +7,10 @@
   endpointId: string,
 ): EndpointSender | undefined {
   const known = context.senders.get(endpointId);
-  if (known) return known;
+  if (known) return known.sender;
   const configured = context.state.version.configuration.endpoints[endpointId];
   if (!configured) return undefined;
   const sender = context.createSender(configured);
-  context.senders.set(endpointId, sender);
+  context.senders.set(endpointId, { configured, sender });
   return sender;
 }
--- a/src/entry/forward_job.ts
+++ b/src/entry/forward_job.ts
@@ -2,11 +2,9 @@
 import type { JobRequest } from "../decide/job/job_request.ts";
 import { readError } from "../errors/read_error.ts";
 import { parseAnswer } from "../peer/parse_answer.ts";
+import { ANSWER_MARGIN_MS } from "./answer_margin_ms.ts";
 import type { EntryContext } from "./entry_context.ts";
 
-/** Added to the wait asked for, so that the holder answers first, in ms. */
-const ANSWER_MARGIN_MS = 2_000;
-
 /** Forwards a submission to the holder of its shard; undefined when that did not answer. */
 export async function forwardJob(
   context: EntryContext,
--- a/src/entry/receive_job.ts
+++ b/src/entry/receive_job.ts
@@ -5,6 +5,7 @@
 import { addCaller } from "./add_caller.ts";
 import { createUnreachableAnswer } from "./create_unreachable_answer.ts";
 import { decide } from "./decide.ts";
+import { MOST_HOPS } from "./most_hops.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { findHolder } from "./find_holder.ts";
 import { findJobPlace } from "./find_job_place.ts";
@@ -22,9 +23,6 @@
   hops: number;
 };
 
-/** Forwards after which a job is turned back rather than passed round. */
-const MOST_HOPS = 3;
-
 /** Takes a job here or passes it to the holder of its shard; resolves with the answer. */
 export async function receiveJob(
   context: EntryContext,
--- a/src/entry/run_commands.ts
+++ b/src/entry/run_commands.ts
@@ -30,8 +30,5 @@
     .with({ type: "readAnswer" }, (read) => {
       readAnswer(context, read);
     })
-    .with({ type: "report" }, ({ message, key }) => {
-      context.logger.warn("decisionReport", { message, job: key });
-    })
     .exhaustive();
 }
--- a/src/entry/stop_entry.ts
+++ b/src/entry/stop_entry.ts
@@ -128,7 +128,7 @@
 }
 
 async function closeConnections(context: EntryContext): Promise<void> {
-  for (const sender of context.senders.values()) await sender.close();
+  for (const { sender } of context.senders.values()) await sender.close();
   await context.platform.close();
   context.metrics.close();
 }
--- a/src/entry/stop_job.ts
+++ b/src/entry/stop_job.ts
@@ -5,6 +5,7 @@
 import { parseAnswer } from "../peer/parse_answer.ts";
 import { createUnreachableAnswer } from "./create_unreachable_answer.ts";
 import { decide } from "./decide.ts";
+import { MOST_HOPS } from "./most_hops.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { findHolder } from "./find_holder.ts";
 import { findJob } from "./find_job.ts";
@@ -13,7 +14,6 @@
 /** A request to cancel a job. */
 type Stop = { client: string; submissionId: string; hops: number };
 
-const MOST_HOPS = 3;
 const CALL_MS = 5_000;
 
 /** Cancels a job where it runs; resolves with its final answer. */
--- a/src/entry/write_commits.ts
+++ b/src/entry/write_commits.ts
@@ -72,8 +72,7 @@
       ...operations,
       ...expired.map(({ key }) => ({ type: "delete" as const, key })),
     ]);
-    context.metrics.increment("platform.append");
-    context.metrics.time("platform.append", readMonotonicMs() - sentAtMs);
+    recordAppend(context, readMonotonicMs() - sentAtMs);
     const isOurs = result.type === "committed" ||
       isEarlierAppend(context, shard, { append, keys: result.keys });
     if (isOurs) applyAppend(context, shard, { append, expired });
@@ -88,6 +87,13 @@
   }
 }
 
+function recordAppend(context: EntryContext, tookMs: number): void {
+  context.metrics.increment("platform.append");
+  context.metrics.time("platform.append", tookMs);
+  context.appends.count += 1;
+  context.appends.totalMs += tookMs;
+}
+
 /** Rows written before this platform time are past the retention, in Unix ms. */
 function computeOldestMs(context: EntryContext): number {
   const { retentionMs } = context.state.version.configuration.policy;
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -10,6 +10,7 @@
 import { receiveJob } from "../../src/entry/receive_job.ts";
 import { startLoops } from "../../src/entry/start_loops.ts";
 import { stopEntry } from "../../src/entry/stop_entry.ts";
+import type { LogFields } from "../../src/log/log_fields.ts";
 import type { AnswerMessage } from "../../src/peer/answer_message.ts";
 import type { ProbeResult } from "../../src/peer/probe_result.ts";
 import type { PeerCall } from "../../src/peer/peer_call.ts";
@@ -92,7 +93,10 @@
           isCut: () => this.cutFromPlatform.has(dataCentre),
           takeLoss: () => this.losses.shift() ?? "none",
         }),
-        logger: silentLogger,
+        logger: {
+          ...silentLogger,
+          error: (event, fields) => this.#log(event, fields),
+        },
         metrics: createMetrics(undefined, {}),
         callPeer: (address, call) => this.#callPeer(entry, address, call),
         probeAddress: (address) => this.#probe(entry, address),
@@ -197,6 +201,13 @@
     for (const entry of this.entries) this.kill(entry);
   }
 
+  /** A step that a chart does not allow is a violation here. */
+  #log(event: string, fields?: LogFields): void {
+    silentLogger.error(event, fields);
+    if (event !== "decisionFailed") return;
+    this.oracle.violations.push(`decision failed: ${fields?.message}`);
+  }
+
   #passViews(): void {
     for (const dataCentre of this.cutFromPlatform) {
       this.#lastCutMs.set(dataCentre, Date.now());
