--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -31,6 +31,8 @@
 const VIEW_MS = 200;
 /** How long after a cut an entry may still act on what it last knew, in ms. */
 const AFTER_CUT_MS = 2_000;
+/** How often a daemon that lags passes on the version before the last. */
+const LAGGING_SHARE = 0.1;
 const PEER_MS = 1;
 const UNREACHABLE_MS = 50;
 
@@ -219,9 +221,11 @@
     if (entry.isDead || this.cutFromPlatform.has(entry.dataCentre)) return;
     const before = entry.context.state.version.version;
     const key = formatVersionKey();
+    const versions = this.platform.scan(key, 0).rows;
+    const isLagging = this.#random() < LAGGING_SHARE;
     const message = createViewMessage(this.platform.scan("live/", 0).rows, {
-      versions: this.platform.scan(key, 0).rows,
-      known: before,
+      versions: isLagging ? versions.slice(0, -1) : versions,
+      known: isLagging ? 0 : before,
       dataCentre: entry.dataCentre,
     });
     applyView(entry.context, message);
