--- a/test/claim/log_test.ts
+++ b/test/claim/log_test.ts
@@ -3,23 +3,9 @@
 import type { ShardRow } from "../../src/decide/own/shard_row.ts";
 import type { TestEntry } from "../fixtures/create_test_entry.ts";
 import { createTestEntry } from "../fixtures/create_test_entry.ts";
-import { receiveJob } from "../../src/entry/receive_job.ts";
+import { submitToEntry } from "../fixtures/submit_to_entry.ts";
 import { waitFor } from "../fixtures/wait_for.ts";
 
-function submit(entry: TestEntry, submissionId: string) {
-  return receiveJob(entry.context, {
-    request: {
-      client: "guild",
-      submissionId,
-      deadlineMs: 2_000,
-      tasks: [{ service: "proof", body: "null", unrepeatable: false }],
-    },
-    digest: "same",
-    waitMs: 3_000,
-    hops: 0,
-  });
-}
-
 async function waitForShard(entry: TestEntry): Promise<void> {
   await waitFor(() => entry.context.state.shards.get(0)?.phase === "active");
 }
@@ -45,7 +31,7 @@
     const entry = start();
     await waitForShard(entry);
 
-    const answer = await submit(entry, "order-1");
+    const answer = await submitToEntry(entry, "order-1");
 
     assert.equal(answer.status, "complete");
     assert.match(listLog(entry), /"claim","key":"guild\/order-1"/);
@@ -64,7 +50,7 @@
       revision: row?.revision ?? 0,
     }]);
 
-    const answer = await submit(entry, "order-1");
+    const answer = await submitToEntry(entry, "order-1");
 
     assert.equal(answer.status, "refused");
     assert.deepEqual(entry.sent, []);
@@ -75,11 +61,11 @@
     const entry = start();
     await waitForShard(entry);
     const shard = entry.context.state.shards.get(0);
-    await submit(entry, "order-1");
+    await submitToEntry(entry, "order-1");
     await waitFor(() => listLog(entry).includes('"complete"'));
     for (const one of shard?.rows ?? []) one.writtenAtMs = 0;
 
-    await submit(entry, "order-2");
+    await submitToEntry(entry, "order-2");
 
     assert.doesNotMatch(listLog(entry), /order-1/);
     assert.match(listLog(entry), /order-2/);
@@ -88,13 +74,13 @@
   test("a restarted process knows from the log what ran, and gives the kept answer", async () => {
     const first = start();
     await waitForShard(first);
-    await submit(first, "order-1");
+    await submitToEntry(first, "order-1");
     await waitFor(() => listLog(first).includes('"complete"'));
 
     first.stop();
     const second = start({}, first.platform);
     await waitForShard(second);
-    const answer = await submit(second, "order-1");
+    const answer = await submitToEntry(second, "order-1");
 
     assert.deepEqual(answer, { status: "complete", results: ["1"] });
     assert.deepEqual(second.sent, []);
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -115,7 +115,7 @@
     startLoops(entry.context);
   }
 
-  /** Kills an entry, or its whole VM: nothing it does from here on has any effect. */
+  /** Kills an entry, or its whole VM: what it does from here on changes nothing. */
   kill(entry: FakeEntry, withVm = false): void {
     entry.isLostWithVm = withVm;
     entry.isDead = true;
