A shard lost during its hand-over is not released a second time

Cause: handOverShard writes the new holder in a loop while the platform is away; meanwhile a renewal may find the lease ended and give every shard up. When the write then commits, the shard was released from the state 'lost'. The same held for 'keep' after the wait for open claims. Ruled out: a fault of the chart (lost is final and must stay so); a fault of the fuzzer's world (the platform's row is written under its revision, so the write is right whichever way it ends). Change: after each wait the hand-over goes on only while the shard is still being handed over; the view takes the row. Conclusion: a missing check after a wait; no promise to callers was broken by it.

--- a/src/entry/hand_over_shard.ts
+++ b/src/entry/hand_over_shard.ts
@@ -26,7 +26,9 @@
   const to = context.view.leases.get(action.to)?.value;
   if (!shard || shard.phase !== "active" || !to) return;
   shard.phase = advanceChart(shardChart, shard.phase, "handOver");
-  if (!await settleRecords(shard)) {
+  const isSettled = await settleRecords(shard);
+  if (shard.phase !== "handingOver") return;
+  if (!isSettled) {
     shard.phase = advanceChart(shardChart, shard.phase, "keep");
     return;
   }
@@ -61,14 +63,17 @@
 ): Promise<void> {
   const place = `${context.settings.dataCentre}/${shard.index}`;
   const row = await replaceRow(context, { place, value, shard });
+  // The lease may have been lost while the row was written; the shard is gone then.
+  const isHeld = shard.phase === "handingOver";
   if (row === undefined) {
+    if (!isHeld) return;
     decide(
       context,
       (state, clock) => loseShard(state, shard, clock.monotonicMs),
     );
     return;
   }
-  decide(context, (state) => releaseShard(state, shard));
+  if (isHeld) decide(context, (state) => releaseShard(state, shard));
   context.view.shards.set(place, row);
   context.logger.info("shardHandedOver", {
     shard: shard.index,
