The port to the table and objects is src/store, as it is one port to any store

Cause: the users' platform gets an adapter folder platform/ at the root; two things of one name would mislead. Ruled out: calling the adapter something else; the users named the folder. No behaviour changes.

--- a/bench/slopes/measure_takeover_slope.ts
+++ b/bench/slopes/measure_takeover_slope.ts
@@ -1,7 +1,7 @@
 import { collectKnownSubmissions } from "../../src/decide/claim/collect_known_submissions.ts";
 import { formatLogKey } from "../../src/decide/claim/format_log_key.ts";
 import type { LogRecord } from "../../src/decide/claim/log_record.ts";
-import { createHttpPlatform } from "../../src/platform/create_http_platform.ts";
+import { createHttpPlatform } from "../../src/store/create_http_platform.ts";
 import { spawnProcess } from "../../test/fixtures/spawn_process.ts";
 import { createSlope } from "./create_slope.ts";
 import type { Slope } from "./slope.ts";
--- a/src/control/apply_patch.ts
+++ b/src/control/apply_patch.ts
@@ -9,7 +9,7 @@
 import { findEffectFaults } from "../config/find_effect_faults.ts";
 import type { VersionRecord } from "../config/version_record.ts";
 import { ChivegradeError } from "../errors/chivegrade_error.ts";
-import type { Table } from "../platform/table.ts";
+import type { Table } from "../store/table.ts";
 import { formatJson } from "../utils/format_json.ts";
 import { loadVersions } from "./load_versions.ts";
 import type { PatchOutcome } from "./patch_outcome.ts";
--- a/src/control/control_context.ts
+++ b/src/control/control_context.ts
@@ -5,8 +5,8 @@
 import type { Metrics } from "../metrics/metrics.ts";
 import type { createPeerPool } from "../peer/create_peer_pool.ts";
 import type { ViewMessage } from "../peer/view_message.ts";
-import type { Platform } from "../platform/platform.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import type { Platform } from "../store/platform.ts";
+import type { TableRow } from "../store/table_row.ts";
 import type { ControlSettings } from "../settings/control_settings.ts";
 
 /** What the parts of a running control daemon share. */
--- a/src/control/keep_view.ts
+++ b/src/control/keep_view.ts
@@ -1,8 +1,8 @@
 import type { LeaseRow } from "../decide/own/lease_row.ts";
 import type { ShardRow } from "../decide/own/shard_row.ts";
 import { readError } from "../errors/read_error.ts";
-import { formatRowKey } from "../platform/format_row_key.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
+import type { TableRow } from "../store/table_row.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { ControlContext } from "./control_context.ts";
 import { readVersion } from "./read_version.ts";
--- a/src/control/load_versions.ts
+++ b/src/control/load_versions.ts
@@ -1,5 +1,5 @@
 import type { VersionRecord } from "../config/version_record.ts";
-import type { Table } from "../platform/table.ts";
+import type { Table } from "../store/table.ts";
 import { formatVersionKey } from "./format_version_key.ts";
 
 /** Loads the records of all versions, oldest first, with the platform's time in Unix ms. */
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -4,7 +4,7 @@
 import { createPeerPool } from "../peer/create_peer_pool.ts";
 import { loadPeerServices } from "../peer/load_peer_services.ts";
 import { startPeerServer } from "../peer/start_peer_server.ts";
-import { createHttpPlatform } from "../platform/create_http_platform.ts";
+import { createHttpPlatform } from "../store/create_http_platform.ts";
 import type { ControlSettings } from "../settings/control_settings.ts";
 import { askPeers } from "./ask_peers.ts";
 import type { ControlContext } from "./control_context.ts";
--- a/src/control/write_version.ts
+++ b/src/control/write_version.ts
@@ -1,7 +1,7 @@
 import type { VersionRecord } from "../config/version_record.ts";
-import { formatRowKey } from "../platform/format_row_key.ts";
-import type { Table } from "../platform/table.ts";
-import type { TableOperation } from "../platform/table_operation.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
+import type { Table } from "../store/table.ts";
+import type { TableOperation } from "../store/table_operation.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import { formatVersionKey } from "./format_version_key.ts";
 
--- a/src/decide/claim/collect_known_submissions.ts
+++ b/src/decide/claim/collect_known_submissions.ts
@@ -1,4 +1,4 @@
-import type { TableRow } from "../../platform/table_row.ts";
+import type { TableRow } from "../../store/table_row.ts";
 import type { KnownSubmission } from "./known_submission.ts";
 import type { LogRecord } from "./log_record.ts";
 import type { LogRow } from "./log_row.ts";
--- a/src/decide/own/decide_ownership.ts
+++ b/src/decide/own/decide_ownership.ts
@@ -1,6 +1,6 @@
 import { chooseHolders } from "./choose_holders.ts";
 import { isLeaseOver } from "./is_lease_over.ts";
-import type { TableRow } from "../../platform/table_row.ts";
+import type { TableRow } from "../../store/table_row.ts";
 import type { LeaseRow } from "./lease_row.ts";
 import type { OwnershipAction } from "./ownership_action.ts";
 import type { OwnershipView } from "./ownership_view.ts";
--- a/src/decide/own/ownership_view.ts
+++ b/src/decide/own/ownership_view.ts
@@ -1,4 +1,4 @@
-import type { TableRow } from "../../platform/table_row.ts";
+import type { TableRow } from "../../store/table_row.ts";
 import type { LeaseRow } from "./lease_row.ts";
 import type { ShardRow } from "./shard_row.ts";
 
--- a/src/entry/apply_view.ts
+++ b/src/entry/apply_view.ts
@@ -4,7 +4,7 @@
 import { checkConfiguration } from "../config/check_configuration.ts";
 import { readError } from "../errors/read_error.ts";
 import type { ViewMessage } from "../peer/view_message.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import type { TableRow } from "../store/table_row.ts";
 import { decide } from "./decide.ts";
 import { dropOldSenders } from "./drop_old_senders.ts";
 import type { EntryContext } from "./entry_context.ts";
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -8,7 +8,7 @@
 import type { PeerCall } from "../peer/peer_call.ts";
 import type { AnswerMessage } from "../peer/answer_message.ts";
 import type { ProbeResult } from "../peer/probe_result.ts";
-import type { Platform } from "../platform/platform.ts";
+import type { Platform } from "../store/platform.ts";
 import type { ProcessPhase } from "../charts/process_phase.ts";
 import type { EntrySettings } from "../settings/entry_settings.ts";
 
--- a/src/entry/find_former_shards.ts
+++ b/src/entry/find_former_shards.ts
@@ -1,8 +1,8 @@
 import { createSuspectWindow } from "../decide/own/create_suspect_window.ts";
 import type { LeaseRow } from "../decide/own/lease_row.ts";
 import type { ShardRow } from "../decide/own/shard_row.ts";
-import { formatRowKey } from "../platform/format_row_key.ts";
-import type { TableOperation } from "../platform/table_operation.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
+import type { TableOperation } from "../store/table_operation.ts";
 import type { EntryContext } from "./entry_context.ts";
 
 /** Finds the shards of a dead incarnation of this process, as steps that take them over. */
--- a/src/entry/format_lease_key.ts
+++ b/src/entry/format_lease_key.ts
@@ -1,4 +1,4 @@
-import { formatRowKey } from "../platform/format_row_key.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
 import type { EntryContext } from "./entry_context.ts";
 
 /** Formats the table key of a process's lease row; leases are read data centre by data centre. */
--- a/src/entry/load_held_shards.ts
+++ b/src/entry/load_held_shards.ts
@@ -3,7 +3,7 @@
 import { createShardState } from "../decide/own/create_shard_state.ts";
 import { isLeaseOver } from "../decide/own/is_lease_over.ts";
 import type { ShardRow } from "../decide/own/shard_row.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import type { TableRow } from "../store/table_row.ts";
 import { decide } from "./decide.ts";
 import type { EntryContext } from "./entry_context.ts";
 
--- a/src/entry/refresh_shard_row.ts
+++ b/src/entry/refresh_shard_row.ts
@@ -1,6 +1,6 @@
 import type { ShardRow } from "../decide/own/shard_row.ts";
-import { formatRowKey } from "../platform/format_row_key.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
+import type { TableRow } from "../store/table_row.ts";
 import type { EntryContext } from "./entry_context.ts";
 import type { JobPlace } from "./job_place.ts";
 
--- a/src/entry/start_entry.ts
+++ b/src/entry/start_entry.ts
@@ -8,7 +8,7 @@
 import { loadPeerServices } from "../peer/load_peer_services.ts";
 import { probeAddress } from "../peer/probe_address.ts";
 import { startPeerServer } from "../peer/start_peer_server.ts";
-import { createHttpPlatform } from "../platform/create_http_platform.ts";
+import { createHttpPlatform } from "../store/create_http_platform.ts";
 import type { EntrySettings } from "../settings/entry_settings.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import { createCallerApp } from "./create_caller_app.ts";
--- a/src/entry/write_lease.ts
+++ b/src/entry/write_lease.ts
@@ -1,8 +1,8 @@
 import type { ShardRow } from "../decide/own/shard_row.ts";
 import type { LeaseRow } from "../decide/own/lease_row.ts";
-import { formatRowKey } from "../platform/format_row_key.ts";
-import type { TableRow } from "../platform/table_row.ts";
-import type { TableOperation } from "../platform/table_operation.ts";
+import { formatRowKey } from "../store/format_row_key.ts";
+import type { TableRow } from "../store/table_row.ts";
+import type { TableOperation } from "../store/table_operation.ts";
 import { formatLeaseKey } from "./format_lease_key.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { findFormerShards } from "./find_former_shards.ts";
--- a/src/peer/view_message.ts
+++ b/src/peer/view_message.ts
@@ -1,6 +1,6 @@
 import type { LeaseRow } from "../decide/own/lease_row.ts";
 import type { ShardRow } from "../decide/own/shard_row.ts";
-import type { TableRow } from "../platform/table_row.ts";
+import type { TableRow } from "../store/table_row.ts";
 
 /** What a control daemon tells its VM's entries. */
 export type ViewMessage = {
--- a/stand_ins/platform/memory_platform.ts
+++ b/stand_ins/platform/memory_platform.ts
@@ -1,8 +1,8 @@
-import type { PlatformMember } from "../../src/platform/platform_member.ts";
-import type { ScanResult } from "../../src/platform/scan_result.ts";
-import type { TableOperation } from "../../src/platform/table_operation.ts";
-import type { TableRow } from "../../src/platform/table_row.ts";
-import type { TransactionResult } from "../../src/platform/transaction_result.ts";
+import type { PlatformMember } from "../../src/store/platform_member.ts";
+import type { ScanResult } from "../../src/store/scan_result.ts";
+import type { TableOperation } from "../../src/store/table_operation.ts";
+import type { TableRow } from "../../src/store/table_row.ts";
+import type { TransactionResult } from "../../src/store/transaction_result.ts";
 
 /** The platform's table, objects and members, held in memory; it counts what it serves. */
 export class MemoryPlatform {
--- a/test/config/patch_test.ts
+++ b/test/config/patch_test.ts
@@ -3,7 +3,7 @@
 import { computeVersionDigest } from "../../src/config/compute_version_digest.ts";
 import { applyPatch } from "../../src/control/apply_patch.ts";
 import { loadVersions } from "../../src/control/load_versions.ts";
-import type { Table } from "../../src/platform/table.ts";
+import type { Table } from "../../src/store/table.ts";
 import { MemoryPlatform } from "../../stand_ins/platform/memory_platform.ts";
 
 const FIRST = {
--- a/test/fuzz/create_view_message.ts
+++ b/test/fuzz/create_view_message.ts
@@ -2,8 +2,8 @@
 import type { LeaseRow } from "../../src/decide/own/lease_row.ts";
 import type { ShardRow } from "../../src/decide/own/shard_row.ts";
 import type { ViewMessage } from "../../src/peer/view_message.ts";
-import { formatRowKey } from "../../src/platform/format_row_key.ts";
-import type { TableRow } from "../../src/platform/table_row.ts";
+import { formatRowKey } from "../../src/store/format_row_key.ts";
+import type { TableRow } from "../../src/store/table_row.ts";
 
 /** Creates what a control daemon would tell its entries from the platform's rows. */
 export function createViewMessage(
--- a/test/fuzz/fake_platform.ts
+++ b/test/fuzz/fake_platform.ts
@@ -1,6 +1,6 @@
-import type { Platform } from "../../src/platform/platform.ts";
-import type { TableOperation } from "../../src/platform/table_operation.ts";
-import type { TransactionResult } from "../../src/platform/transaction_result.ts";
+import type { Platform } from "../../src/store/platform.ts";
+import type { TableOperation } from "../../src/store/table_operation.ts";
+import type { TransactionResult } from "../../src/store/transaction_result.ts";
 import { waitMs } from "../../src/utils/wait_ms.ts";
 import type { MemoryPlatform } from "../../stand_ins/platform/memory_platform.ts";
 
