--- a/src/endpoint/create_reply_handler.ts
+++ b/src/endpoint/create_reply_handler.ts
@@ -4,7 +4,7 @@
 
 /** Creates the handler that follows one request from its first byte to its reply. */
 export function createReplyHandler(
-  task: TaskSend,
+  task: Pick<TaskSend, "timeoutMs" | "mayStart">,
   options: { maxReplyBytes: number; done: (sent: SentTask) => void },
 ): Dispatcher.DispatchHandler {
   let begun = false;
--- /dev/null
+++ b/src/scheduler/adopt_tasks.ts
@@ -0,0 +1,56 @@
+import { addRun } from "./add_run.ts";
+import type { KnownProgress } from "./known_progress.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/**
+ * Takes up a job that an earlier scheduler had begun: what is done stays done,
+ * what endpoints list goes on, and what may run at an endpoint not heard of
+ * yet waits until it is.
+ */
+export function adoptTasks(
+  state: SchedulerState,
+  job: ScheduledJob,
+  progress: KnownProgress,
+): void {
+  const done = new Set(progress.done);
+  const places = new Map(
+    progress.placed.map(({ task, endpointId }) => [task, endpointId]),
+  );
+  if (done.size > 0 || places.size > 0) job.isBegun = true;
+  for (const task of job.tasks) {
+    if (done.has(task.name) || state.earlierDone.has(task.name)) {
+      task.phase = "done";
+      job.openCount -= 1;
+      continue;
+    }
+    const endpoint = findStrangerPlace(state, task.name);
+    if (endpoint) {
+      const stranger = endpoint.strangers.get(task.name);
+      endpoint.strangers.delete(task.name);
+      task.run = stranger?.run ?? 0;
+      task.phase = "running";
+      job.isBegun = true;
+      addRun(endpoint, task);
+      continue;
+    }
+    if (!progress.isResubmitted) continue;
+    const place = places.get(task.name);
+    task.isUnaccounted = place === undefined ||
+      !isListed(state, place);
+    if (place !== undefined) task.endpointId = place;
+  }
+}
+
+function findStrangerPlace(state: SchedulerState, name: string) {
+  for (const endpoint of state.endpoints.values()) {
+    const stranger = endpoint.strangers.get(name);
+    if (stranger && !stranger.isStopping) return endpoint;
+  }
+  return undefined;
+}
+
+function isListed(state: SchedulerState, endpointId: string): boolean {
+  const endpoint = state.endpoints.get(endpointId);
+  return endpoint !== undefined && endpoint.phase !== "unlisted";
+}
--- /dev/null
+++ b/src/scheduler/advance_scheduler.ts
@@ -0,0 +1,92 @@
+import type { EndpointRecord } from "./endpoint_record.ts";
+import { endJob } from "./end_job.ts";
+import { forgetRuns } from "./forget_runs.ts";
+import { placeTasks } from "./place_tasks.ts";
+import { recordEvent } from "./record_event.ts";
+import { dropRun } from "./drop_run.ts";
+import { retryTask } from "./retry_task.ts";
+import { reviewUnaccounted } from "./review_unaccounted.ts";
+import { reviewWaiting } from "./review_waiting.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** How long an ended job is remembered for callers that ask again, in ms. */
+const REMEMBER_MS = 10_000;
+/** Runs of an earlier scheduler that nobody asks for are stopped after this, in ms. */
+const STRANGER_MS = 1_500;
+/** Endpoints' clocks may run this much slower than ours. */
+const CLOCK_RATE = 0.98;
+/** Added to a lease's end before its runs are taken as over, in ms. */
+const LAPSE_MARGIN_MS = 100;
+
+/** Does what is due by time alone. */
+export function advanceScheduler(state: SchedulerState, nowMs: number): void {
+  for (const endpoint of state.endpoints.values()) {
+    clearStoppedRuns(state, endpoint, nowMs);
+    lapseRuns(state, endpoint, nowMs);
+    stopStrangers(state, endpoint, nowMs);
+  }
+  endJobs(state, nowMs);
+  reviewUnaccounted(state, nowMs);
+  reviewWaiting(state, nowMs);
+  placeTasks(state, nowMs);
+}
+
+function clearStoppedRuns(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  nowMs: number,
+): void {
+  for (const task of [...endpoint.runs.values()]) {
+    if (task.clearMs === 0 || task.clearMs > nowMs) continue;
+    dropRun(endpoint, task);
+    retryTask(state, task, "stopped");
+  }
+}
+
+function lapseRuns(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  nowMs: number,
+): void {
+  if (endpoint.phase !== "silent") return;
+  if (endpoint.runs.size === 0) return;
+  const clockMs = endpoint.clockMs + (nowMs - endpoint.heardMs) * CLOCK_RATE;
+  if (clockMs < endpoint.leaseEndMs + LAPSE_MARGIN_MS) return;
+  recordEvent(state, "endpointLapsed", {
+    endpoint: endpoint.row.id,
+    runs: endpoint.runs.size,
+    silentMs: Math.round(nowMs - endpoint.heardMs),
+  });
+  forgetRuns(state, endpoint, "lapsed");
+}
+
+function stopStrangers(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  nowMs: number,
+): void {
+  for (const [task, stranger] of endpoint.strangers) {
+    if (stranger.isStopping || nowMs - stranger.seenMs < STRANGER_MS) continue;
+    stranger.isStopping = true;
+    const { run } = stranger;
+    const endpointId = endpoint.row.id;
+    state.effects.push({ type: "stopRun", endpointId, task, run });
+    recordEvent(state, "strangerStopped", { task, run, endpoint: endpointId });
+  }
+}
+
+function endJobs(state: SchedulerState, nowMs: number): void {
+  for (const job of state.jobs.values()) {
+    if (job.outcome) {
+      if (nowMs - job.endedMs > REMEMBER_MS) state.jobs.delete(job.order.id);
+    } else if (job.orphanedMs !== undefined && job.orphanedMs <= nowMs) {
+      endJob(state, job, {
+        outcome: { type: "failed", reason: "abandoned" },
+        nowMs,
+      });
+    }
+  }
+  for (const [task, heardMs] of state.earlierDone) {
+    if (nowMs - heardMs > REMEMBER_MS) state.earlierDone.delete(task);
+  }
+}
--- /dev/null
+++ b/src/scheduler/apply_listing.ts
@@ -0,0 +1,90 @@
+import type { EndpointListing } from "./endpoint_listing.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import { endRun } from "./end_run.ts";
+import { forgetRuns } from "./forget_runs.ts";
+import { recordClock } from "./record_clock.ts";
+import { recordStranger } from "./record_stranger.ts";
+import { placeTasks } from "./place_tasks.ts";
+import { recordEvent } from "./record_event.ts";
+import { dropRun } from "./drop_run.ts";
+import { retryTask } from "./retry_task.ts";
+import type { RunEnd } from "./run_end.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Takes over what an endpoint says it runs and what has ended there. */
+export function applyListing(
+  state: SchedulerState,
+  endpointId: string,
+  listing: EndpointListing,
+): void {
+  const endpoint = state.endpoints.get(endpointId);
+  if (!endpoint) return;
+  const nowMs = listing.receivedMs;
+  if (endpoint.bornMs !== 0 && endpoint.bornMs !== listing.bornMs) {
+    recordEvent(state, "endpointReborn", { endpoint: endpointId });
+    forgetRuns(state, endpoint, "endpointReborn");
+    endpoint.lastEnd = 0;
+  }
+  endpoint.bornMs = listing.bornMs;
+  recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
+  for (const end of listing.ended) applyEnd(state, endpoint, { end, nowMs });
+  applyRunning(state, endpoint, listing);
+  if (endpoint.phase !== "usable") {
+    const wasPhase = endpoint.phase;
+    endpoint.phase = "usable";
+    recordEvent(state, "endpointListed", {
+      endpoint: endpointId,
+      wasPhase,
+      running: listing.running.length,
+    });
+  }
+  placeTasks(state, nowMs);
+}
+
+function applyEnd(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  options: { end: RunEnd; nowMs: number },
+): void {
+  const { end, nowMs } = options;
+  if (end.number <= endpoint.lastEnd) return;
+  endpoint.lastEnd = end.number;
+  const task = endpoint.runs.get(end.task);
+  if (task && task.run === end.run) {
+    endRun(state, endpoint, { task, how: end.how, nowMs });
+    return;
+  }
+  if (endpoint.strangers.get(end.task)?.run === end.run) {
+    endpoint.strangers.delete(end.task);
+  }
+  if (end.how === "done") state.earlierDone.set(end.task, nowMs);
+}
+
+function applyRunning(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  listing: EndpointListing,
+): void {
+  const nowMs = listing.receivedMs;
+  const listed = new Map(listing.running.map(({ task, run }) => [task, run]));
+  for (const [name, run] of listed) {
+    const task = endpoint.runs.get(name);
+    if (!task || task.run !== run) {
+      recordStranger(state, endpoint, { task: name, run, nowMs });
+      continue;
+    }
+    if (task.phase !== "starting" && task.phase !== "unsure") continue;
+    task.phase = "running";
+    task.confirmedMs = nowMs;
+  }
+  for (const task of [...endpoint.runs.values()]) {
+    const isMissing = task.confirmedMs > 0 &&
+      task.confirmedMs < listing.sentMs && listed.get(task.name) !== task.run;
+    if (!isMissing) continue;
+    dropRun(endpoint, task);
+    retryTask(state, task, "missing");
+  }
+  for (const name of endpoint.strangers.keys()) {
+    if (!listed.has(name)) endpoint.strangers.delete(name);
+  }
+}
--- /dev/null
+++ b/src/scheduler/drop_caller.ts
@@ -0,0 +1,18 @@
+import { endJob } from "./end_job.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** A VM's caller has left: the job ends unless another VM's caller waits for it. */
+export function dropCaller(
+  state: SchedulerState,
+  jobId: string,
+  from: { vm: string; nowMs: number },
+): void {
+  const job = state.jobs.get(jobId);
+  if (!job || job.outcome) return;
+  job.vms.delete(from.vm);
+  if (job.vms.size > 0) return;
+  const outcome = job.isBegun
+    ? { type: "failed", reason: "abandoned" } as const
+    : { type: "refused", reason: "abandoned", retryAfterMs: 0 } as const;
+  endJob(state, job, { outcome, nowMs: from.nowMs });
+}
--- /dev/null
+++ b/src/scheduler/endpoint_record.ts
@@ -0,0 +1,35 @@
+import type { EndpointRow } from "./endpoint_row.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+
+/** What the scheduler knows of an endpoint. */
+export type EndpointRecord = {
+  row: EndpointRow;
+  /** `unlisted` until it has told what it runs; `silent` while it does not answer. */
+  phase: "unlisted" | "usable" | "silent" | "taken";
+  /** Unix ms at which the endpoint's process began; another value is another process. */
+  bornMs: number;
+  /** Room taken by runs, confirmed or not. */
+  used: { cpu: number; memoryMb: number; gpus: number };
+  /** Runs of known jobs, by task name. */
+  runs: Map<string, ScheduledTask>;
+  /** Runs nobody asked for yet: of an earlier scheduler's jobs. */
+  strangers: Map<string, StrangerRun>;
+  /** Number of the last end that was taken note of. */
+  lastEnd: number;
+  /** The endpoint's clock at `heardMs`, in ms. */
+  clockMs: number;
+  /** When the endpoint was last heard, by the scheduler's clock, in ms. */
+  heardMs: number;
+  /** Latest end of a lease granted, by the endpoint's clock, in ms. */
+  leaseEndMs: number;
+  /** Run time relative to an average endpoint. */
+  slowness: number;
+  /** Ends that `slowness` was learnt from. */
+  samples: number;
+  /** Failed ends and unanswered starts since the last success. */
+  strikes: number;
+  /** No new start before this, in ms. */
+  restUntilMs: number;
+};
+
+type StrangerRun = { run: number; seenMs: number; isStopping: boolean };
--- /dev/null
+++ b/src/scheduler/place_tasks.ts
@@ -0,0 +1,72 @@
+import { computeRank } from "../decide/compute_rank.ts";
+import { addRun } from "./add_run.ts";
+import { chooseEndpoint } from "./choose_endpoint.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import { recordEvent } from "./record_event.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Run numbers of one holder; the token before them makes them rise across holders. */
+const RUNS_PER_TOKEN = 1_000;
+
+/** Starts what there is room for, the most urgent job first. */
+export function placeTasks(state: SchedulerState, nowMs: number): void {
+  if (state.waiting.size === 0) return;
+  const jobs = [...state.waiting];
+  const ranks = new Map(jobs.map((job) => [job, computeRank(job, nowMs)]));
+  jobs.sort((one, other) =>
+    (ranks.get(one) as number) - (ranks.get(other) as number)
+  );
+  for (const job of jobs) placeJob(state, job, nowMs);
+}
+
+function placeJob(
+  state: SchedulerState,
+  job: ScheduledJob,
+  nowMs: number,
+): void {
+  for (const task of job.tasks) {
+    if (task.phase !== "waiting" || task.isUnaccounted) continue;
+    const endpoint = chooseEndpoint(state, task, nowMs);
+    if (!endpoint) return;
+    startTask(state, endpoint, { task, nowMs });
+  }
+}
+
+function startTask(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  start: { task: ScheduledTask; nowMs: number },
+): void {
+  const { task, nowMs } = start;
+  const { job } = task;
+  const base = state.token * RUNS_PER_TOKEN;
+  task.run = Math.max(task.run, base) + 1;
+  task.phase = "starting";
+  task.sentMs = nowMs;
+  task.confirmedMs = 0;
+  task.clearMs = 0;
+  job.isBegun = true;
+  job.waitingCount -= 1;
+  if (job.waitingCount === 0) state.waiting.delete(job);
+  addRun(endpoint, task);
+  const endpointId = endpoint.row.id;
+  const leaseEndMs = Math.floor(
+    endpoint.clockMs + (nowMs - endpoint.heardMs) + state.limits.leaseMs,
+  );
+  endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
+  const vms = [...job.vms];
+  state.effects.push({ type: "tellPlaced", vms, task: task.name, endpointId });
+  const { run } = task;
+  state.effects.push({ type: "startTask", endpointId, task, run, leaseEndMs });
+  recordEvent(state, "taskPlaced", {
+    task: task.name,
+    run,
+    endpoint: endpointId,
+    waitedMs: Math.round(nowMs - job.arrivedMs),
+    usedCpu: endpoint.used.cpu,
+    slowness: Math.round(endpoint.slowness * 100) / 100,
+    heardAgoMs: Math.round(nowMs - endpoint.heardMs),
+  });
+}
--- /dev/null
+++ b/src/scheduler/scheduled_task.ts
@@ -0,0 +1,26 @@
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { TaskPhase } from "./task_phase.ts";
+
+/** A task and its latest run. */
+export type ScheduledTask = {
+  /** Unique name, sent to endpoints. */
+  name: string;
+  job: ScheduledJob;
+  step: number;
+  phase: TaskPhase;
+  /** Number of the latest run; rises with each start. */
+  run: number;
+  /** The endpoint of the latest run, while it is there. */
+  endpointId?: string;
+  /** When the latest run's start was sent, by the scheduler's clock, in ms. */
+  sentMs: number;
+  /** When the start was confirmed, in ms; 0 before that. */
+  confirmedMs: number;
+  /** When a confirmed stop has surely taken effect, in ms; 0 while none is confirmed. */
+  clearMs: number;
+  failures: number;
+  /** Endpoints where a run of the task failed. */
+  failedOn: string[];
+  /** An earlier scheduler may have started it, at an endpoint not heard of yet. */
+  isUnaccounted: boolean;
+};
--- /dev/null
+++ b/src/scheduler/scheduler_state.ts
@@ -0,0 +1,25 @@
+import type { Effect } from "./effect.ts";
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { SchedulerLimits } from "./scheduler_limits.ts";
+
+/** All that the scheduler knows. */
+export type SchedulerState = {
+  /** Sent with each order; endpoints ignore orders with a lower one. */
+  token: number;
+  limits: SchedulerLimits;
+  /** When this process became the scheduler, in ms. */
+  beganMs: number;
+  jobs: Map<string, ScheduledJob>;
+  /** Jobs with tasks that wait for room. */
+  waiting: Set<ScheduledJob>;
+  endpoints: Map<string, EndpointRecord>;
+  /** Tasks that were done under an earlier scheduler, with the time of the news, in ms. */
+  earlierDone: Map<string, number>;
+  /** Learnt run time relative to the callers' estimates, by route. */
+  routes: Map<string, RouteKnowledge>;
+  /** Collected for the caller of each decision, which carries them out. */
+  effects: Effect[];
+};
+
+type RouteKnowledge = { meanMs: number; samples: number };
--- /dev/null
+++ b/src/vm/create_endpoint_sessions.ts
@@ -0,0 +1,158 @@
+import type { Effect } from "../scheduler/effect.ts";
+import { applyListing } from "../scheduler/apply_listing.ts";
+import { applySilence } from "../scheduler/apply_silence.ts";
+import { applyStartReply } from "../scheduler/apply_start_reply.ts";
+import { applyStopReply } from "../scheduler/apply_stop_reply.ts";
+import type { EndpointRow } from "../scheduler/endpoint_row.ts";
+import type { SchedulerState } from "../scheduler/scheduler_state.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import type { EndpointClient } from "./endpoint_client.ts";
+import type { EventLog } from "./event_log.ts";
+
+/** How long an endpoint holds a listing back for the next end, in ms; a fraction of the lease. */
+const LIST_WAIT_MS = 250;
+/** Time an endpoint has for an answer beyond what it was asked to wait, in ms. */
+const ANSWER_MS = 250;
+/** Pause before a silent endpoint is asked again, in ms. */
+const PROBE_MS = 150;
+/** Pause before a stop that was not confirmed is sent again, in ms. */
+const STOP_AGAIN_MS = 50;
+/** A stop is sent at most this often: its run's lease has ended by then. */
+const MOST_STOPS = 40;
+
+type Start = Extract<Effect, { type: "startTask" }>;
+type Stop = Extract<Effect, { type: "stopRun" }>;
+type Session = { client: EndpointClient; address: string; isOpen: boolean };
+
+/** Keeps one session an endpoint: its listings, leases, starts and stops. */
+export function createEndpointSessions(options: {
+  state: SchedulerState;
+  createClient: (row: EndpointRow) => EndpointClient;
+  /** Runs a decision and carries out what follows from it. */
+  act: (decide: (nowMs: number) => void) => void;
+  log: EventLog;
+  superseded: () => void;
+}): {
+  start(start: Start): void;
+  stop(stop: Stop): void;
+  /** Opens and closes sessions as the scheduler's endpoints are. */
+  refresh(): void;
+  close(): void;
+} {
+  const { state, act } = options;
+  const { token } = state;
+  const sessions = new Map<string, Session>();
+
+  async function follow(id: string, session: Session): Promise<void> {
+    let failures = 0;
+    while (session.isOpen) {
+      const endpoint = state.endpoints.get(id);
+      if (!endpoint) return;
+      const isKnown = endpoint.phase === "usable";
+      const nowMs = readMonotonicMs();
+      // A lease is granted only to an endpoint that answers, so that the runs of others end by themselves.
+      const leaseEndMs = isKnown
+        ? Math.floor(
+          endpoint.clockMs + (nowMs - endpoint.heardMs) + state.limits.leaseMs,
+        )
+        : undefined;
+      if (leaseEndMs !== undefined) {
+        endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
+      }
+      const wait = isKnown && failures === 0 ? LIST_WAIT_MS : 0;
+      const { lastEnd } = endpoint;
+      try {
+        const listing = await session.client.list({
+          token,
+          lastEnd,
+          leaseEndMs,
+          waitMs: wait,
+          timeoutMs: wait + ANSWER_MS,
+        });
+        if (!session.isOpen) return;
+        if (listing === "superseded") {
+          options.log("endpointSuperseded", { endpoint: id, token });
+          options.superseded();
+          await waitMs(PROBE_MS);
+          continue;
+        }
+        if (listing === "otherInstance") throw new Error("another instance");
+        failures = 0;
+        act(() => applyListing(state, id, listing));
+      } catch {
+        failures += 1;
+        if (failures > 1) act((at) => applySilence(state, id, at));
+        if (failures > 1) await waitMs(PROBE_MS);
+      }
+    }
+  }
+
+  async function start(effect: Start): Promise<void> {
+    const session = sessions.get(effect.endpointId);
+    const { task, run, leaseEndMs, endpointId } = effect;
+    const reply = session
+      ? await session.client.start({
+        task: task.name,
+        run,
+        spec: task.job.order.spec,
+        leaseEndMs,
+        token,
+      })
+      : { type: "rejected", reason: "neverSent" } as const;
+    if (reply.type === "rejected" && reply.reason === "superseded") {
+      options.superseded();
+    }
+    act((nowMs) =>
+      applyStartReply(state, { endpointId, task, run }, { reply, nowMs })
+    );
+  }
+
+  async function stop(effect: Stop): Promise<void> {
+    const { endpointId, task, run } = effect;
+    for (let attempt = 0; attempt < MOST_STOPS; attempt += 1) {
+      const session = sessions.get(endpointId);
+      if (!session?.isOpen) return;
+      if (await session.client.stop({ task, run, token })) {
+        act((nowMs) => applyStopReply(state, { endpointId, task, run }, nowMs));
+        return;
+      }
+      await waitMs(STOP_AGAIN_MS);
+    }
+  }
+
+  function open(row: EndpointRow): void {
+    const session = {
+      client: options.createClient(row),
+      address: row.address,
+      isOpen: true,
+    };
+    sessions.set(row.id, session);
+    follow(row.id, session);
+  }
+
+  function closeSession(id: string, session: Session): void {
+    session.isOpen = false;
+    session.client.close();
+    sessions.delete(id);
+  }
+
+  return {
+    start,
+    stop,
+    refresh: () => {
+      for (const [id, session] of sessions) {
+        if (!state.endpoints.has(id)) closeSession(id, session);
+      }
+      for (const { row } of state.endpoints.values()) {
+        const session = sessions.get(row.id);
+        if (session?.address === row.address) continue;
+        if (session) closeSession(row.id, session);
+        open(row);
+      }
+    },
+    close: () => {
+      for (const [id, session] of sessions) closeSession(id, session);
+    },
+  };
+}
--- /dev/null
+++ b/src/vm/decide_takeover.ts
@@ -0,0 +1,26 @@
+/** A beat older than this means that the scheduler is gone or without the store, in ms; several beats. */
+const STALE_MS = 750;
+/** The same when its address refuses connections, in ms. */
+const STALE_REFUSED_MS = 350;
+/** Each further place in the order of succession waits this much longer, in ms. */
+const RANK_MS = 120;
+
+/**
+ * Decides whether a VM that lost the scheduler takes over. A link that is gone
+ * proves little, as only this VM may be cut off; the scheduler's beat in the
+ * store decides.
+ */
+export function decideTakeover(seen: {
+  how: "closed" | "silent";
+  lostForMs: number;
+  /** Undefined when the scheduler has never written one. */
+  beatAgeMs: number | undefined;
+  /** Place in the order of succession, from 0. */
+  rank: number;
+  isDraining: boolean;
+}): "takeOver" | "wait" {
+  const staleMs = seen.how === "closed" ? STALE_REFUSED_MS : STALE_MS;
+  const rankMs = (seen.rank + (seen.isDraining ? 5 : 0)) * RANK_MS;
+  const ageMs = seen.beatAgeMs ?? seen.lostForMs;
+  return ageMs > staleMs + rankMs ? "takeOver" : "wait";
+}
--- /dev/null
+++ b/src/vm/keep_beat.ts
@@ -0,0 +1,91 @@
+import { readError } from "../errors/read_error.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import type { BeatRow } from "./beat_row.ts";
+import type { EventLog } from "./event_log.ts";
+import { ROW_KEYS } from "./row_keys.ts";
+import type { SchedulerHost } from "./scheduler_host.ts";
+import type { WatchedTable } from "./watched_table.ts";
+
+/** Time between two beats, in ms. */
+const BEAT_MS = 150;
+/** A scheduler that could not write a beat for this long asks another VM to take over, in ms. */
+const RESIGN_MS = 500;
+
+/** Writes the scheduler's beat to the store, and resigns while the store is lost to this VM. */
+export function keepBeat(options: {
+  table: WatchedTable;
+  log: EventLog;
+  findHost: () => SchedulerHost | undefined;
+}): { isStoreReachable(): boolean; stop(): void } {
+  const { table, log, findHost } = options;
+  let offsetMs: number | undefined;
+  let writtenMs = readMonotonicMs();
+  let revision: number | undefined;
+  let isBusy = false;
+  let isReachable = true;
+  let resignedMs = 0;
+
+  async function write(host: SchedulerHost): Promise<void> {
+    const { epoch } = host;
+    if (offsetMs === undefined || revision === undefined) {
+      const scan = await table.scan(ROW_KEYS.beat, 0);
+      offsetMs = scan.atMs - readMonotonicMs();
+      revision = scan.rows[0]?.revision ?? 0;
+    }
+    const value: BeatRow = { epoch, storeMs: readMonotonicMs() + offsetMs };
+    const key = ROW_KEYS.beat;
+    const result = await table.transact([
+      revision === 0
+        ? { type: "insert", key, value }
+        : { type: "replace", key, value, revision },
+    ]);
+    if (result.type === "conflict") {
+      revision = undefined;
+      return;
+    }
+    revision = result.revision;
+    writtenMs = readMonotonicMs();
+  }
+
+  async function renewBeat(): Promise<void> {
+    const host = findHost();
+    if (!host) {
+      writtenMs = readMonotonicMs();
+      revision = undefined;
+      isReachable = true;
+      return;
+    }
+    if (isBusy) {
+      review(host);
+      return;
+    }
+    isBusy = true;
+    try {
+      await write(host);
+      if (!isReachable) log("storeRegained", { watch: "beat" });
+      isReachable = true;
+    } catch (thrown) {
+      revision = undefined;
+      if (isReachable) {
+        log("storeLost", { watch: "beat", message: readError(thrown).message });
+      }
+      isReachable = false;
+    } finally {
+      isBusy = false;
+    }
+    review(host);
+  }
+
+  function review(host: SchedulerHost): void {
+    const nowMs = readMonotonicMs();
+    if (nowMs - writtenMs < RESIGN_MS || nowMs - resignedMs < RESIGN_MS) return;
+    resignedMs = nowMs;
+    host.resign("storeLost");
+  }
+
+  const timer = setInterval(renewBeat, BEAT_MS);
+  return {
+    isStoreReachable: () => isReachable,
+    stop: () => clearInterval(timer),
+  };
+}
--- /dev/null
+++ b/src/vm/link_events.ts
@@ -0,0 +1,12 @@
+import type { JobOutcome } from "../scheduler/job_outcome.ts";
+
+/** What comes from the scheduler over a link. */
+export type LinkEvents = {
+  placed(task: string, endpointId: string): void;
+  done(task: string): void;
+  ended(jobId: string, outcome: JobOutcome): void;
+  /** The scheduler's beat: its view of the linked VMs, in the order of succession. */
+  status(status: { successors: string[]; configurationVersion: number }): void;
+  /** The scheduler asks this VM to take over. */
+  resignation(reason: string): void;
+};
--- /dev/null
+++ b/src/vm/open_job.ts
@@ -0,0 +1,16 @@
+import type { JobOrder } from "../scheduler/job_order.ts";
+import type { JobOutcome } from "../scheduler/job_outcome.ts";
+
+/** A job whose callers wait at this VM. */
+export type OpenJob = {
+  order: JobOrder;
+  /** By this process's clock, in ms. */
+  receivedMs: number;
+  /** The callers' answers. */
+  answer: ((outcome: JobOutcome) => void)[];
+  /** Epoch of the scheduler that has it; 0 before one had it. */
+  handedTo: number;
+  /** Where its tasks were sent, by task. */
+  placed: Map<string, string>;
+  done: Set<string>;
+};
--- /dev/null
+++ b/src/vm/scheduler_host.ts
@@ -0,0 +1,15 @@
+import type { Attachment } from "./attachment.ts";
+import type { LinkEvents } from "./link_events.ts";
+
+/** The scheduler while this process is it. */
+export type SchedulerHost = {
+  epoch: number;
+  /** Links a VM; `events` is what the scheduler says to it. */
+  attach(vm: string, events: LinkEvents): Attachment;
+  /** Names of the linked VMs that may take over, best first. */
+  listSuccessors(): string[];
+  /** Asks a linked VM to take over; false when there is none. */
+  resign(reason: string): boolean;
+  /** Gives up at once: starts nothing more. */
+  stop(): void;
+};
--- /dev/null
+++ b/src/vm/start_scheduler_host.ts
@@ -0,0 +1,168 @@
+import { match } from "ts-pattern";
+import { dropCaller } from "../scheduler/drop_caller.ts";
+import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
+import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
+import type { Effect } from "../scheduler/effect.ts";
+import { loseVm } from "../scheduler/lose_vm.ts";
+import type { SchedulerState } from "../scheduler/scheduler_state.ts";
+import { submitJob } from "../scheduler/submit_job.ts";
+import { takeEffects } from "../scheduler/take_effects.ts";
+import { updateEndpoints } from "../scheduler/update_endpoints.ts";
+import { readError } from "../errors/read_error.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import type { Attachment } from "./attachment.ts";
+import { createEndpointSessions } from "./create_endpoint_sessions.ts";
+import type { EventLog } from "./event_log.ts";
+import type { LinkEvents } from "./link_events.ts";
+import type { SchedulerHost } from "./scheduler_host.ts";
+import type { VmPorts } from "./vm_ports.ts";
+import type { VmReport } from "./vm_report.ts";
+import type { VmSettings } from "./vm_settings.ts";
+
+/** How often what is due by time is done, in ms. */
+const TICK_MS = 20;
+/** Time between two readings of the endpoints' list, in ms; well inside the time a leaving one may still get tasks. */
+const READ_ENDPOINTS_MS = 400;
+/** How often each VM hears from the scheduler, in ms. */
+const BEAT_MS = 100;
+/** A list that lost entries while the store was away is trusted again after this, in ms. */
+const LIST_SETTLE_MS = 2_500;
+
+/** Starts placing tasks under a token that this process was just given. */
+export function startSchedulerHost(options: {
+  epoch: number;
+  settings: VmSettings;
+  ports: VmPorts;
+  log: EventLog;
+  /** Called when an endpoint obeys a later scheduler. */
+  superseded: () => void;
+  configurationVersion: () => number;
+}): SchedulerHost {
+  const { epoch, settings, ports, log } = options;
+  const state: SchedulerState = createSchedulerState(epoch, {
+    limits: settings.limits,
+    nowMs: readMonotonicMs(),
+  });
+  const links = new Map<string, { events: LinkEvents; report?: VmReport }>();
+  let isStopped = false;
+  let storeLostMs = 0;
+
+  const sessions = createEndpointSessions({
+    state,
+    createClient: ports.createEndpointClient,
+    act,
+    log,
+    superseded: options.superseded,
+  });
+
+  function act(decide: (nowMs: number) => void): void {
+    if (isStopped) return;
+    decide(readMonotonicMs());
+    for (const effect of takeEffects(state)) runEffect(effect);
+  }
+
+  function runEffect(effect: Effect): void {
+    match(effect)
+      .with({ type: "startTask" }, (start) => sessions.start(start))
+      .with({ type: "stopRun" }, (stop) => sessions.stop(stop))
+      .with({ type: "tellPlaced" }, ({ vms, task, endpointId }) => {
+        for (const vm of vms) links.get(vm)?.events.placed(task, endpointId);
+      })
+      .with({ type: "tellDone" }, ({ vms, task }) => {
+        for (const vm of vms) links.get(vm)?.events.done(task);
+      })
+      .with({ type: "tellEnded" }, ({ vms, jobId, outcome }) => {
+        for (const vm of vms) links.get(vm)?.events.ended(jobId, outcome);
+      })
+      .with({ type: "log" }, ({ event, fields }) => log(event, fields))
+      .exhaustive();
+  }
+
+  async function followEndpoints(): Promise<void> {
+    while (!isStopped) {
+      try {
+        const rows = await ports.readEndpoints();
+        const nowMs = readMonotonicMs();
+        const isSettled = nowMs - storeLostMs > LIST_SETTLE_MS;
+        act(() => updateEndpoints(state, rows, { nowMs, isSettled }));
+        sessions.refresh();
+      } catch (thrown) {
+        storeLostMs = readMonotonicMs();
+        log("endpointsNotRead", { message: readError(thrown).message });
+      }
+      await waitMs(READ_ENDPOINTS_MS);
+    }
+  }
+
+  function attach(vm: string, events: LinkEvents): Attachment {
+    const link: { events: LinkEvents; report?: VmReport } = { events };
+    links.set(vm, link);
+    log("vmLinked", { vm, epoch, links: links.size });
+    const isCurrent = () => links.get(vm) === link;
+    return {
+      report: (report) => {
+        link.report = report;
+      },
+      submit: (order, progress) =>
+        act((nowMs) => submitJob(state, order, { vm, nowMs, progress })),
+      abandon: (jobId) =>
+        act((nowMs) => dropCaller(state, jobId, { vm, nowMs })),
+      lost: (how) => {
+        if (!isCurrent()) return;
+        links.delete(vm);
+        log("vmLost", { vm, how, epoch, links: links.size });
+        act((nowMs) => loseVm(state, vm, { how, nowMs }));
+      },
+    };
+  }
+
+  function listSuccessors(): string[] {
+    return [...links.entries()]
+      .filter(([name, { report }]) =>
+        name !== settings.name && report && !report.isDraining
+      )
+      .sort(([, one], [, other]) =>
+        Number(other.report?.isStoreReachable) -
+        Number(one.report?.isStoreReachable)
+      )
+      .map(([name]) => name);
+  }
+
+  function sendBeat(): void {
+    const successors = listSuccessors();
+    const configurationVersion = options.configurationVersion();
+    for (const { events } of links.values()) {
+      events.status({ successors, configurationVersion });
+    }
+  }
+
+  const ticker = setInterval(
+    () => act((nowMs) => advanceScheduler(state, nowMs)),
+    TICK_MS,
+  );
+  const beater = setInterval(sendBeat, BEAT_MS);
+  followEndpoints();
+  log("schedulerBegan", { epoch, vm: settings.name });
+
+  return {
+    epoch,
+    attach,
+    listSuccessors,
+    resign: (reason) => {
+      const [name] = listSuccessors();
+      const chosen = name === undefined ? undefined : links.get(name);
+      log("schedulerResigned", { epoch, to: name, reason });
+      chosen?.events.resignation(reason);
+      return chosen !== undefined;
+    },
+    stop: () => {
+      if (isStopped) return;
+      isStopped = true;
+      clearInterval(ticker);
+      clearInterval(beater);
+      sessions.close();
+      log("schedulerEnded", { epoch, jobs: state.jobs.size });
+    },
+  };
+}
--- /dev/null
+++ b/src/vm/start_vm.ts
@@ -0,0 +1,103 @@
+import type { JobOrder } from "../scheduler/job_order.ts";
+import type { JobOutcome } from "../scheduler/job_outcome.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import { createOpenJobs } from "./create_open_jobs.ts";
+import type { EventLog } from "./event_log.ts";
+import { followScheduler } from "./follow_scheduler.ts";
+import { keepBeat } from "./keep_beat.ts";
+import type { RunningVm } from "./running_vm.ts";
+import { startLinkServer } from "./start_link_server.ts";
+import { startSchedulerHost } from "./start_scheduler_host.ts";
+import type { VmPorts } from "./vm_ports.ts";
+import type { VmReport } from "./vm_report.ts";
+import type { VmSettings } from "./vm_settings.ts";
+
+/** How often a stopping VM looks whether its callers have been answered, in ms. */
+const LOOK_MS = 20;
+/** A VM without a scheduler for this long takes no new connections, in ms: a takeover's time. */
+const UNREADY_MS = 1_500;
+
+/** Starts the parts of a VM's process that do not face the callers. */
+export async function startVm(options: {
+  settings: VmSettings;
+  ports: VmPorts;
+  log: EventLog;
+  configurationVersion: () => number;
+  heardVersion: (version: number) => void;
+}): Promise<RunningVm> {
+  const { settings, ports, log } = options;
+  const incarnation = crypto.randomUUID();
+  const jobs = createOpenJobs(log);
+  let isDraining = false;
+  let linkedMs = readMonotonicMs();
+
+  const beat = keepBeat({
+    table: ports.table,
+    log,
+    findHost: () => follower.findHost(),
+  });
+  const readReport = (): VmReport => ({
+    name: settings.name,
+    address: settings.peerAddress,
+    dataCentre: settings.dataCentre,
+    isDraining,
+    isStoreReachable: beat.isStoreReachable(),
+    configurationVersion: options.configurationVersion(),
+  });
+  const server = await startLinkServer(
+    settings.peerAddress,
+    () => follower.findHost(),
+  );
+  const follower = followScheduler({
+    settings,
+    incarnation,
+    ports,
+    jobs,
+    log,
+    readReport,
+    heardVersion: options.heardVersion,
+    startHost: (epoch) =>
+      startSchedulerHost({
+        epoch,
+        settings,
+        ports,
+        log,
+        superseded: () => follower.doubt(),
+        configurationVersion: options.configurationVersion,
+      }),
+  });
+
+  function isReady(): boolean {
+    const nowMs = readMonotonicMs();
+    if (jobs.hasLink()) linkedMs = nowMs;
+    return !isDraining && nowMs - linkedMs < UNREADY_MS;
+  }
+
+  async function stopGracefully(): Promise<void> {
+    isDraining = true;
+    log("stopping", { jobs: jobs.count() });
+    follower.findHost()?.resign("stop");
+    const untilMs = readMonotonicMs() + settings.stopWithinMs;
+    while (!jobs.isEmpty() && readMonotonicMs() < untilMs) {
+      await waitMs(LOOK_MS);
+    }
+    log("drained", { jobs: jobs.count() });
+  }
+
+  return {
+    submit: (order: JobOrder, answer: (outcome: JobOutcome) => void) =>
+      jobs.submit(order, answer),
+    cancel: jobs.cancel,
+    isReady,
+    isDraining: () => isDraining,
+    isIdle: jobs.isEmpty,
+    drain: stopGracefully,
+    stop: async () => {
+      follower.stop();
+      beat.stop();
+      jobs.close();
+      await server.stop();
+    },
+  };
+}
--- a/test/style/style_test.ts
+++ b/test/style/style_test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { describe, test } from "node:test";
 
-const FOLDERS = ["src", "stand_ins", "bench", "demo"];
+const FOLDERS = ["src", "platform", "stand_ins", "bench", "demo"];
 
 function listFiles(): string[] {
   return FOLDERS.flatMap((folder) =>
