A VM that reaches no scheduler serves its callers alone, on its share of its data centre's endpoints

Ruled out: waiting for the cut to heal; handing the share over through the store (cut VMs do not reach it).

--- a/src/peer/scheduler_messages.ts
+++ b/src/peer/scheduler_messages.ts
@@ -16,7 +16,7 @@
     status?: {
       epoch: number;
       configurationVersion: number;
-      successors: string[];
+      successors: { name: string; dataCentre: string }[];
     };
     placed?: { task: string; endpointId: string };
     done?: { task: string };
--- a/src/scheduler/add_run.ts
+++ b/src/scheduler/add_run.ts
@@ -10,5 +10,5 @@
   endpoint.used.gpus += room.gpus;
   endpoint.runs.set(task.name, task);
   task.endpointId = endpoint.row.id;
-  task.isUnaccounted = false;
+  task.unaccountedUntilMs = 0;
 }
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -3,6 +3,9 @@
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
+/** By then another scheduler's leases have ended wherever it could not renew them, in ms. */
+const UNACCOUNTED_MS = 2_500;
+
 /**
  * Takes up a job that an earlier scheduler had begun: what is done stays done,
  * what endpoints list goes on, and what may run at an endpoint not heard of
@@ -11,13 +14,14 @@
 export function adoptTasks(
   state: SchedulerState,
   job: ScheduledJob,
-  progress: KnownProgress,
+  from: { progress: KnownProgress; nowMs: number },
 ): void {
+  const { progress, nowMs } = from;
   const done = new Set(progress.done);
   const places = new Map(
     progress.placed.map(({ task, endpointId }) => [task, endpointId]),
   );
-  if (done.size > 0 || places.size > 0) job.isBegun = true;
+  if (progress.isResubmitted || done.size > 0) job.isBegun = true;
   for (const task of job.tasks) {
     if (done.has(task.name) || state.earlierDone.has(task.name)) {
       task.phase = "done";
@@ -36,8 +40,9 @@
     }
     if (!progress.isResubmitted) continue;
     const place = places.get(task.name);
-    task.isUnaccounted = place === undefined ||
-      !isListed(state, place);
+    if (place === undefined || !isListed(state, place)) {
+      task.unaccountedUntilMs = nowMs + UNACCOUNTED_MS;
+    }
     if (place !== undefined) task.endpointId = place;
   }
 }
@@ -52,5 +57,5 @@
 
 function isListed(state: SchedulerState, endpointId: string): boolean {
   const endpoint = state.endpoints.get(endpointId);
-  return endpoint !== undefined && endpoint.phase !== "unlisted";
+  return endpoint !== undefined && endpoint.phase === "usable";
 }
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -13,6 +13,8 @@
 const REMEMBER_MS = 10_000;
 /** Runs of an earlier scheduler that nobody asks for are stopped after this, in ms. */
 const STRANGER_MS = 1_500;
+/** The same for a VM that serves alone: those runs are another scheduler's, which goes on elsewhere. */
+const SOLO_STRANGER_MS = 0;
 /** Endpoints' clocks may run this much slower than ours. */
 const CLOCK_RATE = 0.98;
 /** Added to a lease's end before its runs are taken as over, in ms. */
@@ -48,7 +50,7 @@
   endpoint: EndpointRecord,
   nowMs: number,
 ): void {
-  if (endpoint.phase !== "silent") return;
+  if (endpoint.phase !== "silent" && endpoint.phase !== "taken") return;
   if (endpoint.runs.size === 0) return;
   const clockMs = endpoint.clockMs + (nowMs - endpoint.heardMs) * CLOCK_RATE;
   if (clockMs < endpoint.leaseEndMs + LAPSE_MARGIN_MS) return;
@@ -65,8 +67,9 @@
   endpoint: EndpointRecord,
   nowMs: number,
 ): void {
+  const graceMs = state.isSolo ? SOLO_STRANGER_MS : STRANGER_MS;
   for (const [task, stranger] of endpoint.strangers) {
-    if (stranger.isStopping || nowMs - stranger.seenMs < STRANGER_MS) continue;
+    if (stranger.isStopping || nowMs - stranger.seenMs < graceMs) continue;
     stranger.isStopping = true;
     const { run } = stranger;
     const endpointId = endpoint.row.id;
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -27,6 +27,7 @@
   }
   endpoint.bornMs = listing.bornMs;
   recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
+  if (endpoint.phase === "taken") forgetRuns(state, endpoint, "taken");
   for (const end of listing.ended) applyEnd(state, endpoint, { end, nowMs });
   applyRunning(state, endpoint, listing);
   if (endpoint.phase !== "usable") {
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -11,6 +11,8 @@
 
 /** Rest of an endpoint that turned a start away, in ms; its next listing tells what runs there. */
 const REJECTION_REST_MS = 100;
+/** Added to a run number that an endpoint found too low, beyond those of several holders. */
+const OLDER_RUN_STEP = 100_000;
 
 /** Takes the answer to a start, or the lack of one. */
 export function applyStartReply(
@@ -36,6 +38,7 @@
         endpoint.restUntilMs,
         nowMs + REJECTION_REST_MS,
       );
+      if (reason === "olderRun") task.run += OLDER_RUN_STEP;
       if (reason === "unhealthy") learnFailure(state, endpoint, { nowMs });
       retryTask(state, task, reason);
       placeTasks(state, nowMs);
--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -12,7 +12,7 @@
   let best: EndpointRecord | undefined;
   let bestCost = Infinity;
   for (const endpoint of state.endpoints.values()) {
-    if (!canTake(endpoint, task, nowMs)) continue;
+    if (!canTake(endpoint, task, { nowMs, isSolo: state.isSolo })) continue;
     const cost = computeCost(state, endpoint, task);
     if (cost >= bestCost) continue;
     best = endpoint;
@@ -24,10 +24,13 @@
 function canTake(
   endpoint: EndpointRecord,
   task: ScheduledTask,
-  nowMs: number,
+  at: { nowMs: number; isSolo: boolean },
 ): boolean {
+  const { nowMs, isSolo } = at;
   const { row, used, phase } = endpoint;
   if (phase !== "usable" || row.isDraining) return false;
+  // A start would extend the lease of runs that another scheduler takes as ending.
+  if (isSolo && endpoint.strangers.size > 0) return false;
   if (row.service !== task.job.order.service) return false;
   if (endpoint.restUntilMs > nowMs) return false;
   if (endpoint.strikes > 0 && endpoint.runs.size > 0) return false;
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -4,10 +4,11 @@
 /** Creates the state of a scheduler that has just been given its token. */
 export function createSchedulerState(
   token: number,
-  options: { limits: SchedulerLimits; nowMs: number },
+  options: { limits: SchedulerLimits; nowMs: number; isSolo?: boolean },
 ): SchedulerState {
   return {
     token,
+    isSolo: options.isSolo ?? false,
     limits: options.limits,
     beganMs: options.nowMs,
     jobs: new Map(),
--- a/src/scheduler/effect.ts
+++ b/src/scheduler/effect.ts
@@ -27,6 +27,8 @@
   | "endpointListed"
   | "endpointSilent"
   | "endpointLapsed"
+  | "endpointTaken"
+  | "endpointReclaimed"
   | "endpointReborn"
   | "endpointRested"
   | "endpointAdded"
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -4,7 +4,9 @@
 /** What the scheduler knows of an endpoint. */
 export type EndpointRecord = {
   row: EndpointRow;
-  /** `unlisted` until it has told what it runs; `silent` while it does not answer. */
+  /** Sent with each order to it. */
+  token: number;
+  /** `unlisted` until it has told what it runs; `silent` while it does not answer; `taken` while it obeys a later scheduler. */
   phase: "unlisted" | "usable" | "silent" | "taken";
   /** Unix ms at which the endpoint's process began; another value is another process. */
   bornMs: number;
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -18,7 +18,10 @@
   jobs.sort((one, other) =>
     (ranks.get(one) as number) - (ranks.get(other) as number)
   );
-  for (const job of jobs) placeJob(state, job, nowMs);
+  for (const job of jobs) {
+    // Without a VM that waits for it a job may live on elsewhere, so nothing new of it starts here.
+    if (job.vms.size > 0) placeJob(state, job, nowMs);
+  }
 }
 
 function placeJob(
@@ -27,7 +30,7 @@
   nowMs: number,
 ): void {
   for (const task of job.tasks) {
-    if (task.phase !== "waiting" || task.isUnaccounted) continue;
+    if (task.phase !== "waiting" || task.unaccountedUntilMs > 0) continue;
     const endpoint = chooseEndpoint(state, task, nowMs);
     if (!endpoint) return;
     startTask(state, endpoint, { task, nowMs });
@@ -41,7 +44,7 @@
 ): void {
   const { task, nowMs } = start;
   const { job } = task;
-  const base = state.token * RUNS_PER_TOKEN;
+  const base = endpoint.token * RUNS_PER_TOKEN;
   task.run = Math.max(task.run, base) + 1;
   task.phase = "starting";
   task.sentMs = nowMs;
--- a/src/scheduler/review_unaccounted.ts
+++ b/src/scheduler/review_unaccounted.ts
@@ -1,29 +1,21 @@
-import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** By then an earlier scheduler's leases have ended wherever it could not renew them, in ms. */
-const UNACCOUNTED_MS = 2_500;
-
 /** Frees tasks for placing once the endpoints that might run them have told what they run. */
 export function reviewUnaccounted(state: SchedulerState, nowMs: number): void {
-  let isAnyUnlisted = false;
-  for (const endpoint of state.endpoints.values()) {
-    if (endpoint.phase === "unlisted") isAnyUnlisted = true;
-  }
-  const isOver = nowMs - state.beganMs > UNACCOUNTED_MS;
-  const isAllListed = !isAnyUnlisted && state.endpoints.size > 0;
+  const areAllListed = !state.isSolo && state.endpoints.size > 0 &&
+    [...state.endpoints.values()].every(({ phase }) => phase === "usable");
   for (const job of state.waiting) {
     for (const task of job.tasks) {
-      if (!task.isUnaccounted) continue;
-      if (isOver || isAllListed || isPlaceListed(state, task)) {
-        task.isUnaccounted = false;
-      }
+      if (task.unaccountedUntilMs === 0) continue;
+      const isOver = nowMs > task.unaccountedUntilMs;
+      const isSettled = task.endpointId === undefined
+        ? areAllListed
+        : isListed(state, task.endpointId);
+      if (isOver || isSettled) task.unaccountedUntilMs = 0;
     }
   }
 }
 
-function isPlaceListed(state: SchedulerState, task: ScheduledTask): boolean {
-  if (task.endpointId === undefined) return false;
-  const endpoint = state.endpoints.get(task.endpointId);
-  return endpoint !== undefined && endpoint.phase !== "unlisted";
+function isListed(state: SchedulerState, endpointId: string): boolean {
+  return state.endpoints.get(endpointId)?.phase === "usable";
 }
--- a/src/scheduler/review_waiting.ts
+++ b/src/scheduler/review_waiting.ts
@@ -7,9 +7,7 @@
   for (const job of [...state.waiting]) {
     const refusal = findRefusal(state, job, nowMs);
     if (!refusal) continue;
-    const isResumed = job.tasks.some((task) => task.isUnaccounted);
-    const mayHaveRun = job.isBegun || isResumed;
-    const outcome = mayHaveRun
+    const outcome = job.isBegun
       ? { type: "failed", reason: "outOfTime" } as const
       : refusal;
     endJob(state, job, { outcome, nowMs });
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -21,6 +21,6 @@
   failures: number;
   /** Endpoints where a run of the task failed. */
   failedOn: string[];
-  /** An earlier scheduler may have started it, at an endpoint not heard of yet. */
-  isUnaccounted: boolean;
+  /** Another scheduler may have started it at an endpoint not heard since; until then it waits, in ms. 0 when accounted for. */
+  unaccountedUntilMs: number;
 };
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -5,8 +5,10 @@
 
 /** All that the scheduler knows. */
 export type SchedulerState = {
-  /** Sent with each order; endpoints ignore orders with a lower one. */
+  /** Sent with each order to endpoints that have no later one; they ignore orders with a lower one. */
   token: number;
+  /** Serves one VM's callers alone, on its share of the endpoints, while it reaches no other scheduler. */
+  isSolo: boolean;
   limits: SchedulerLimits;
   /** When this process became the scheduler, in ms. */
   beganMs: number;
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -46,7 +46,7 @@
     endJob(state, job, { outcome: refusal, nowMs });
     return;
   }
-  if (progress) adoptTasks(state, job, progress);
+  if (progress) adoptTasks(state, job, { progress, nowMs });
   releaseSteps(state, job);
   if (job.openCount === 0) {
     endJob(state, job, { outcome: { type: "completed" }, nowMs });
@@ -117,6 +117,6 @@
     clearMs: 0,
     failures: 0,
     failedOn: [],
-    isUnaccounted: false,
+    unaccountedUntilMs: 0,
   };
 }
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -29,7 +29,7 @@
 function updateEndpoint(state: SchedulerState, row: EndpointRow): void {
   const known = state.endpoints.get(row.id);
   if (!known) {
-    state.endpoints.set(row.id, createRecord(row));
+    state.endpoints.set(row.id, createRecord(state, row));
     recordEvent(state, "endpointAdded", {
       endpoint: row.id,
       address: row.address,
@@ -44,9 +44,13 @@
   known.row = row;
 }
 
-function createRecord(row: EndpointRow): EndpointRecord {
+function createRecord(
+  state: SchedulerState,
+  row: EndpointRow,
+): EndpointRecord {
   return {
     row,
+    token: state.token,
     phase: "unlisted",
     bornMs: 0,
     used: { cpu: 0, memoryMb: 0, gpus: 0 },
--- a/src/vm/create_endpoint_sessions.ts
+++ b/src/vm/create_endpoint_sessions.ts
@@ -16,6 +16,8 @@
 const ANSWER_MS = 250;
 /** Pause before a silent endpoint is asked again, in ms. */
 const PROBE_MS = 150;
+/** The same for an endpoint that obeys a later scheduler, in ms. */
+const TAKEN_PROBE_MS = 300;
 /** Pause before a stop that was not confirmed is sent again, in ms. */
 const STOP_AGAIN_MS = 50;
 /** A stop is sent at most this often: its run's lease has ended by then. */
@@ -32,7 +34,8 @@
   /** Runs a decision and carries out what follows from it. */
   act: (decide: (nowMs: number) => void) => void;
   log: EventLog;
-  superseded: () => void;
+  /** Called when an endpoint obeys a later scheduler. */
+  superseded: (endpointId: string) => void;
 }): {
   start(start: Start): void;
   stop(stop: Stop): void;
@@ -41,7 +44,6 @@
   close(): void;
 } {
   const { state, act } = options;
-  const { token } = state;
   const sessions = new Map<string, Session>();
 
   async function follow(id: string, session: Session): Promise<void> {
@@ -49,7 +51,8 @@
     while (session.isOpen) {
       const endpoint = state.endpoints.get(id);
       if (!endpoint) return;
-      const isKnown = endpoint.phase === "usable";
+      const areStrangersGone = !state.isSolo || endpoint.strangers.size === 0;
+      const isKnown = endpoint.phase === "usable" && areStrangersGone;
       const nowMs = readMonotonicMs();
       // A lease is granted only to an endpoint that answers, so that the runs of others end by themselves.
       const leaseEndMs = isKnown
@@ -64,7 +67,7 @@
       const { lastEnd } = endpoint;
       try {
         const listing = await session.client.list({
-          token,
+          token: endpoint.token,
           lastEnd,
           leaseEndMs,
           waitMs: wait,
@@ -72,9 +75,8 @@
         });
         if (!session.isOpen) return;
         if (listing === "superseded") {
-          options.log("endpointSuperseded", { endpoint: id, token });
-          options.superseded();
-          await waitMs(PROBE_MS);
+          options.superseded(id);
+          await waitMs(TAKEN_PROBE_MS);
           continue;
         }
         if (listing === "otherInstance") throw new Error("another instance");
@@ -88,6 +90,10 @@
     }
   }
 
+  function findToken(endpointId: string): number {
+    return state.endpoints.get(endpointId)?.token ?? state.token;
+  }
+
   async function start(effect: Start): Promise<void> {
     const session = sessions.get(effect.endpointId);
     const { task, run, leaseEndMs, endpointId } = effect;
@@ -97,11 +103,11 @@
         run,
         spec: task.job.order.spec,
         leaseEndMs,
-        token,
+        token: findToken(endpointId),
       })
       : { type: "rejected", reason: "neverSent" } as const;
     if (reply.type === "rejected" && reply.reason === "superseded") {
-      options.superseded();
+      options.superseded(endpointId);
     }
     act((nowMs) =>
       applyStartReply(state, { endpointId, task, run }, { reply, nowMs })
@@ -113,7 +119,9 @@
     for (let attempt = 0; attempt < MOST_STOPS; attempt += 1) {
       const session = sessions.get(endpointId);
       if (!session?.isOpen) return;
-      if (await session.client.stop({ task, run, token })) {
+      if (
+        await session.client.stop({ task, run, token: findToken(endpointId) })
+      ) {
         act((nowMs) => applyStopReply(state, { endpointId, task, run }, nowMs));
         return;
       }
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -3,8 +3,11 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { BeatRow } from "./beat_row.ts";
+import { computeToken } from "./compute_token.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
+import { followSchedulerRow } from "./follow_scheduler_row.ts";
+import type { LinkEvents } from "./link_events.ts";
 import type { OpenJobs } from "./open_jobs.ts";
 import { openRemoteLink } from "./open_remote_link.ts";
 import { ROW_KEYS } from "./row_keys.ts";
@@ -14,12 +17,21 @@
 import type { VmPorts } from "./vm_ports.ts";
 import type { VmReport } from "./vm_report.ts";
 import type { VmSettings } from "./vm_settings.ts";
-import { followSchedulerRow } from "./follow_scheduler_row.ts";
 
 /** Pause between two attempts at a link or at taking over, in ms. */
 const AGAIN_MS = 50;
+/** How often a linked VM looks whether something is asked of it, in ms. */
+const LOOK_MS = 20;
+/** A VM that reaches no scheduler for this long serves its callers alone, in ms; a takeover is faster. */
+const SOLO_MS = 1_000;
+/** Time between two raises of the epoch, in ms: the endpoints answer the first within it. */
+const RAISE_MS = 700;
+/** The same for a process that has just begun, when all may be starting, in ms. */
+const FIRST_SOLO_MS = 3_000;
+/** A scheduler that lost this part of the endpoints to a later one gives up. */
+const SUPERSEDED_SHARE = 0.5;
 
-/** Keeps this VM linked to the scheduler, and takes over when there is none. */
+/** Keeps this VM linked to the scheduler, takes over when there is none, and serves alone when neither can be. */
 export function followScheduler(options: {
   settings: VmSettings;
   incarnation: string;
@@ -27,37 +39,46 @@
   jobs: OpenJobs;
   log: EventLog;
   readReport: () => VmReport;
-  startHost: (epoch: number) => SchedulerHost;
+  startHost: (start: {
+    epoch: number;
+    token: number;
+    /** The VMs known when this one began to serve alone; absent for the scheduler of all. */
+    soloAmong?: { name: string; dataCentre: string }[];
+    superseded: (share: number) => void;
+    vms: { name: string; dataCentre: string }[];
+  }) => SchedulerHost;
   /** Told of the scheduler's configuration version, which may be ahead of ours. */
   heardVersion: (version: number) => void;
 }): {
   findHost(): SchedulerHost | undefined;
-  /** Asks for the scheduler's row to be read now. */
-  doubt(): void;
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log } = options;
-  const name = settings.name;
+  const { name } = settings;
   let row: TableRow<SchedulerRow> | undefined;
   let host: SchedulerHost | undefined;
+  let solo: SchedulerHost | undefined;
   let link: SchedulerLink | undefined;
-  let successors: string[] = [];
+  let linkedEpoch = 0;
+  let vms: { name: string; dataCentre: string }[] = [];
   let lostMs = readMonotonicMs();
   let lostHow: "closed" | "silent" = "closed";
   let isAsked = false;
+  let isReviewing = false;
+  let raisedMs = 0;
+  let wasLinked = false;
   let isStopped = false;
-  let linkedEpoch = 0;
 
   const watcher = followSchedulerRow(ports.table, { log, changed: takeRow });
 
-  function takeRow(next: TableRow<SchedulerRow> | undefined): void {
-    if (next && row && next.revision <= row.revision) return;
+  function takeRow(next: TableRow<SchedulerRow>): void {
+    if (row && next.revision <= row.revision) return;
+    const isSameHolder = row?.value.incarnation === next.value.incarnation;
     row = next;
-    if (!next) return;
     log("schedulerKnown", { vm: next.value.vm, epoch: next.value.epoch });
-    if (host && next.value.epoch > host.epoch) endHost("superseded");
-    const isOther = link && next.value.epoch > linkedEpoch;
-    if (isOther) dropLink("superseded");
+    if (isSameHolder) return;
+    if (host && next.value.incarnation !== incarnation) endHost("superseded");
+    else if (link && next.value.epoch > linkedEpoch) dropLink("superseded");
   }
 
   function endHost(reason: string): void {
@@ -80,27 +101,21 @@
   function setLink(next: SchedulerLink): void {
     link = next;
     linkedEpoch = next.epoch;
+    wasLinked = true;
     log("linked", { epoch: next.epoch, jobs: jobs.count() });
     jobs.setLink(next);
   }
 
-  function loseLink(how: "closed" | "silent"): void {
-    lostHow = how;
-    dropLink(how);
-  }
-
-  const events = {
+  const events: LinkEvents = {
     ...jobs.events,
-    status: (
-      status: { successors: string[]; configurationVersion: number },
-    ) => {
-      successors = status.successors;
+    status: (status) => {
+      vms = status.successors;
+      if (link) linkedEpoch = status.epoch;
       options.heardVersion(status.configurationVersion);
     },
-    resignation: (reason: string) => {
+    resignation: (reason) => {
       log("takeoverAsked", { reason });
       isAsked = true;
-      if (link) dropLink("resignation");
     },
   };
 
@@ -121,43 +136,53 @@
         address: value.address,
         events,
         readReport: options.readReport,
-        lost: loseLink,
+        lost: (how) => {
+          lostHow = how;
+          dropLink(how);
+        },
       });
-      const isCurrent = row?.value.epoch === next.epoch && !host;
-      if (isCurrent && !isStopped) setLink(next);
-      else next.close();
+      const isCurrent = row?.value.incarnation === value.incarnation;
+      if (!isCurrent || host || isStopped) {
+        next.close();
+        return;
+      }
+      endSolo();
+      setLink(next);
     } catch (thrown) {
-      const message = readError(thrown).message;
+      const { message } = readError(thrown);
       lostHow = message === "closed" ? "closed" : "silent";
       log("linkNotOpened", { vm: value.vm, epoch: value.epoch, message });
     }
   }
 
   async function canTakeOver(): Promise<boolean> {
-    if (isAsked) return true;
-    if (!row) return true;
-    if (row.value.vm === name) return row.value.incarnation !== incarnation;
+    if (isAsked || !row) return true;
+    if (row.value.vm === name) return true;
     const scan = await ports.table.scan(ROW_KEYS.beat, 0);
     const beat = scan.rows[0]?.value as BeatRow | undefined;
-    const rank = successors.indexOf(name);
+    const found = vms.findIndex((vm) => vm.name === name);
+    const rank = found >= 0 ? found : vms.length;
+    const beatAgeMs = beat ? scan.atMs - beat.storeMs : undefined;
     const decision = decideTakeover({
       how: lostHow,
       lostForMs: readMonotonicMs() - lostMs,
-      beatAgeMs: beat ? scan.atMs - beat.storeMs : undefined,
-      rank: rank >= 0 ? rank : successors.length,
+      beatAgeMs,
+      rank,
       isDraining: options.readReport().isDraining,
     });
+    const { epoch } = row.value;
     log("takeoverWeighed", {
-      epoch: row.value.epoch,
+      epoch,
       how: lostHow,
       rank,
-      beatAgeMs: beat ? Math.round(scan.atMs - beat.storeMs) : undefined,
+      beatAgeMs: beatAgeMs && Math.round(beatAgeMs),
       decision,
     });
     return decision === "takeOver";
   }
 
-  async function takeOver(): Promise<void> {
+  /** Writes this process as the holder of a new epoch; false when another was faster. */
+  async function writeRow(): Promise<boolean> {
     const epoch = (row?.value.epoch ?? 0) + 1;
     const value: SchedulerRow = {
       vm: name,
@@ -171,49 +196,109 @@
         ? { type: "replace", key, value, revision: row.revision }
         : { type: "insert", key, value },
     ]);
-    isAsked = false;
     if (result.type === "conflict") {
       await watcher.readNow();
-      return;
+      return false;
     }
     row = { key, value, revision: result.revision, updatedAtMs: result.atMs };
-    host = options.startHost(epoch);
+    return true;
+  }
+
+  async function takeOver(): Promise<void> {
+    if (!await writeRow() || !row) return;
+    const { epoch } = row.value;
+    endSolo();
+    dropLink("takenOver");
+    host = options.startHost({
+      epoch,
+      token: computeToken(epoch, 0),
+      superseded: (share) => {
+        if (share >= SUPERSEDED_SHARE && host) reviewSuperseded();
+      },
+      vms: vms.filter((vm) => vm.name !== name),
+    });
     attachToHost(host);
   }
 
+  /** Most endpoints obey another: either the row says who, or this VM is cut off from the store. */
+  async function reviewSuperseded(): Promise<void> {
+    if (isReviewing) return;
+    isReviewing = true;
+    await watcher.readNow();
+    isReviewing = false;
+    if (host && watcher.isLost()) endHost("superseded while cut off");
+  }
+
+  async function raiseEpoch(): Promise<void> {
+    if (!host || !row) return;
+    raisedMs = readMonotonicMs();
+    if (await writeRow()) host.raise(row.value.epoch);
+  }
+
+  function beginSolo(): void {
+    if (solo || !row) return;
+    const zone = vms.filter((vm) => vm.dataCentre === settings.dataCentre)
+      .map((vm) => vm.name).sort();
+    const place = 1 + Math.max(0, zone.indexOf(name));
+    solo = options.startHost({
+      epoch: row.value.epoch,
+      token: computeToken(row.value.epoch, place),
+      soloAmong: vms,
+      superseded: () => {},
+      vms: [],
+    });
+    attachToHost(solo);
+  }
+
+  function endSolo(): void {
+    if (!solo) return;
+    solo.stop();
+    solo = undefined;
+    dropLink("soloEnded");
+  }
+
+  async function act(): Promise<void> {
+    if (host) {
+      const isDue = readMonotonicMs() - raisedMs > RAISE_MS;
+      if (isDue && host.listReturned().size > 0) await raiseEpoch();
+      return;
+    }
+    if (isAsked) {
+      await takeOver();
+      isAsked = false;
+      return;
+    }
+    if (link && !solo) return;
+    const isOther = row && row.value.vm !== name;
+    if (row && isOther) await attachToPeer(row.value);
+    if (link && !solo) return;
+    if (await canTakeOver() && !isStopped) await takeOver();
+  }
+
   async function run(): Promise<void> {
     await watcher.readNow();
     while (!isStopped) {
-      if (link) {
-        await waitMs(AGAIN_MS / 2);
-        continue;
-      }
       try {
-        const isOurs = row?.value.incarnation === incarnation;
-        if (row && !isOurs && row.value.vm !== name && !isAsked) {
-          await attachToPeer(row.value);
-          if (link) continue;
-        }
-        if (!link && !host && await canTakeOver() && !isStopped) {
-          await takeOver();
-        }
+        await act();
       } catch (thrown) {
         log("takeoverFailed", { message: readError(thrown).message });
         isAsked = false;
-        await watcher.readNow();
       }
-      if (!link) await waitMs(AGAIN_MS);
+      const limitMs = wasLinked ? SOLO_MS : FIRST_SOLO_MS;
+      const isLost = !link && readMonotonicMs() - lostMs > limitMs;
+      if (isLost && !isStopped) beginSolo();
+      await waitMs(link && !solo ? LOOK_MS : AGAIN_MS);
     }
   }
   run();
 
   return {
     findHost: () => host,
-    doubt: () => void watcher.readNow(),
     stop: () => {
       isStopped = true;
       watcher.stop();
       host?.stop();
+      solo?.stop();
       link?.close();
     },
   };
--- a/src/vm/follow_scheduler_row.ts
+++ b/src/vm/follow_scheduler_row.ts
@@ -16,9 +16,14 @@
   table: WatchedTable,
   options: {
     log: EventLog;
-    changed: (row: TableRow<SchedulerRow> | undefined) => void;
+    changed: (row: TableRow<SchedulerRow>) => void;
   },
-): { readNow(): Promise<void>; stop(): void } {
+): {
+  readNow(): Promise<void>;
+  /** Whether the last reading failed. */
+  isLost(): boolean;
+  stop(): void;
+} {
   let revision = 0;
   let isStopped = false;
   let isLost = false;
@@ -61,6 +66,7 @@
 
   return {
     readNow,
+    isLost: () => isLost,
     stop: () => {
       isStopped = true;
     },
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -16,7 +16,7 @@
   table: WatchedTable;
   log: EventLog;
   findHost: () => SchedulerHost | undefined;
-}): { isStoreReachable(): boolean; stop(): void } {
+}): { stop(): void } {
   const { table, log, findHost } = options;
   let offsetMs: number | undefined;
   let writtenMs = readMonotonicMs();
@@ -84,8 +84,5 @@
   }
 
   const timer = setInterval(renewBeat, BEAT_MS);
-  return {
-    isStoreReachable: () => isReachable,
-    stop: () => clearInterval(timer),
-  };
+  return { stop: () => clearInterval(timer) };
 }
--- a/src/vm/link_events.ts
+++ b/src/vm/link_events.ts
@@ -6,7 +6,11 @@
   done(task: string): void;
   ended(jobId: string, outcome: JobOutcome): void;
   /** The scheduler's beat: its view of the linked VMs, in the order of succession. */
-  status(status: { successors: string[]; configurationVersion: number }): void;
+  status(status: {
+    epoch: number;
+    successors: { name: string; dataCentre: string }[];
+    configurationVersion: number;
+  }): void;
   /** The scheduler asks this VM to take over. */
   resignation(reason: string): void;
 };
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -10,6 +10,10 @@
   listSuccessors(): string[];
   /** Asks a linked VM to take over; false when there is none. */
   resign(reason: string): boolean;
+  /** Data centres whose lost VMs are all back, and where endpoints still obey a VM that had served alone. */
+  listReturned(): Set<string>;
+  /** Goes on under a later epoch, and takes those endpoints back. */
+  raise(epoch: number): void;
   /** Gives up at once: starts nothing more. */
   stop(): void;
 };
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -58,7 +58,7 @@
     if (status) {
       attachment ??= current.attach(
         status.name,
-        createEvents(stream, current.epoch),
+        createEvents(stream),
       );
       attachment.report({
         name: status.name,
@@ -78,7 +78,7 @@
   stream.on("close", () => finish("closed"));
 }
 
-function createEvents(stream: Stream, epoch: number): LinkEvents {
+function createEvents(stream: Stream): LinkEvents {
   return {
     placed: (task, endpointId) =>
       stream.write({ placed: { task, endpointId } }),
@@ -90,7 +90,7 @@
         : 0;
       stream.write({ ended: { id, type: outcome.type, reason, retryAfterMs } });
     },
-    status: (status) => stream.write({ status: { ...status, epoch } }),
+    status: (status) => stream.write({ status }),
     resignation: (reason) => stream.write({ resignation: { reason } }),
   };
 }
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -1,9 +1,12 @@
 import { match } from "ts-pattern";
 import { dropCaller } from "../scheduler/drop_caller.ts";
 import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
+import { computeToken } from "./compute_token.ts";
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
 import type { Effect } from "../scheduler/effect.ts";
+import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
 import { loseVm } from "../scheduler/lose_vm.ts";
+import { reclaimEndpoints } from "../scheduler/reclaim_endpoints.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 import { submitJob } from "../scheduler/submit_job.ts";
 import { takeEffects } from "../scheduler/take_effects.ts";
@@ -24,6 +27,8 @@
 const TICK_MS = 20;
 /** Time between two readings of the endpoints' list, in ms; well inside the time a leaving one may still get tasks. */
 const READ_ENDPOINTS_MS = 400;
+/** A VM that was lost for this long is taken as gone for good, and its endpoints come back, in ms. */
+const LOST_VM_MS = 15_000;
 /** How often each VM hears from the scheduler, in ms. */
 const BEAT_MS = 100;
 /** A list that lost entries while the store was away is trusted again after this, in ms. */
@@ -32,19 +37,29 @@
 /** Starts placing tasks under a token that this process was just given. */
 export function startSchedulerHost(options: {
   epoch: number;
+  /** Sent with each order; of an epoch's tokens the first is the scheduler's, later ones are of VMs that serve alone. */
+  token: number;
+  isSolo: boolean;
   settings: VmSettings;
   ports: VmPorts;
   log: EventLog;
-  /** Called when an endpoint obeys a later scheduler. */
-  superseded: () => void;
+  /** Called when endpoints obey a later scheduler; `share` is their part of all that answer. */
+  superseded: (share: number) => void;
+  /** The VMs known when this process began. */
+  vms: { name: string; dataCentre: string }[];
   configurationVersion: () => number;
 }): SchedulerHost {
-  const { epoch, settings, ports, log } = options;
-  const state: SchedulerState = createSchedulerState(epoch, {
+  const { settings, ports, log, isSolo } = options;
+  let { epoch } = options;
+  const state: SchedulerState = createSchedulerState(options.token, {
     limits: settings.limits,
     nowMs: readMonotonicMs(),
+    isSolo,
   });
   const links = new Map<string, { events: LinkEvents; report?: VmReport }>();
+  const lostVms = new Map(
+    options.vms.map((vm) => [vm.name, { ...vm, lostMs: readMonotonicMs() }]),
+  );
   let isStopped = false;
   let storeLostMs = 0;
 
@@ -53,9 +68,22 @@
     createClient: ports.createEndpointClient,
     act,
     log,
-    superseded: options.superseded,
+    superseded: (endpointId) => {
+      act(() => loseEndpoint(state, endpointId));
+      options.superseded(computeTakenShare());
+    },
   });
 
+  function computeTakenShare(): number {
+    let taken = 0;
+    let heard = 0;
+    for (const { phase } of state.endpoints.values()) {
+      if (phase === "taken") taken += 1;
+      if (phase !== "silent") heard += 1;
+    }
+    return heard === 0 ? 0 : taken / heard;
+  }
+
   function act(decide: (nowMs: number) => void): void {
     if (isStopped) return;
     decide(readMonotonicMs());
@@ -103,6 +131,7 @@
     return {
       report: (report) => {
         link.report = report;
+        lostVms.delete(vm);
       },
       submit: (order, progress) =>
         act((nowMs) => submitJob(state, order, { vm, nowMs, progress })),
@@ -111,6 +140,10 @@
       lost: (how) => {
         if (!isCurrent()) return;
         links.delete(vm);
+        if (link.report && !link.report.isDraining) {
+          const { dataCentre } = link.report;
+          lostVms.set(vm, { name: vm, dataCentre, lostMs: readMonotonicMs() });
+        }
         log("vmLost", { vm, how, epoch, links: links.size });
         act((nowMs) => loseVm(state, vm, { how, nowMs }));
       },
@@ -129,11 +162,42 @@
       .map(([name]) => name);
   }
 
+  /** Successors first; this process itself comes last, as it can't succeed itself. */
+  function listVms(): { name: string; dataCentre: string }[] {
+    const others = listSuccessors().map((name) => ({
+      name,
+      dataCentre: links.get(name)?.report?.dataCentre ?? "",
+    }));
+    return [
+      ...others,
+      { name: settings.name, dataCentre: settings.dataCentre },
+    ];
+  }
+
+  function listReturned(): Set<string> {
+    const returned = new Set<string>();
+    for (const { phase, row } of state.endpoints.values()) {
+      if (phase === "taken") returned.add(row.dataCentre);
+    }
+    const nowMs = readMonotonicMs();
+    for (const { dataCentre, lostMs } of lostVms.values()) {
+      if (nowMs - lostMs < LOST_VM_MS) returned.delete(dataCentre);
+    }
+    return returned;
+  }
+
+  function raise(later: number): void {
+    const returned = listReturned();
+    epoch = later;
+    const token = computeToken(later, 0);
+    act(() => reclaimEndpoints(state, token, returned));
+  }
+
   function sendBeat(): void {
-    const successors = listSuccessors();
+    const successors = listVms();
     const configurationVersion = options.configurationVersion();
     for (const { events } of links.values()) {
-      events.status({ successors, configurationVersion });
+      events.status({ epoch, successors, configurationVersion });
     }
   }
 
@@ -143,10 +207,14 @@
   );
   const beater = setInterval(sendBeat, BEAT_MS);
   followEndpoints();
-  log("schedulerBegan", { epoch, vm: settings.name });
+  log("schedulerBegan", { epoch, token: options.token, isSolo });
 
   return {
-    epoch,
+    get epoch() {
+      return epoch;
+    },
+    listReturned,
+    raise,
     attach,
     listSuccessors,
     resign: (reason) => {
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -2,6 +2,9 @@
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
+import { computeShare } from "../decide/compute_share.ts";
+import type { EndpointRow } from "../scheduler/endpoint_row.ts";
+import { keepEndpoints } from "./keep_endpoints.ts";
 import { createOpenJobs } from "./create_open_jobs.ts";
 import type { EventLog } from "./event_log.ts";
 import { followScheduler } from "./follow_scheduler.ts";
@@ -25,6 +28,7 @@
   log: EventLog;
   configurationVersion: () => number;
   heardVersion: (version: number) => void;
+  isStoreReachable: () => boolean;
 }): Promise<RunningVm> {
   const { settings, ports, log } = options;
   const incarnation = crypto.randomUUID();
@@ -42,9 +46,16 @@
     address: settings.peerAddress,
     dataCentre: settings.dataCentre,
     isDraining,
-    isStoreReachable: beat.isStoreReachable(),
+    isStoreReachable: options.isStoreReachable(),
     configurationVersion: options.configurationVersion(),
   });
+  const endpoints = keepEndpoints(ports);
+  function readShare(
+    rows: EndpointRow[],
+    among: { name: string; dataCentre: string }[],
+  ): Promise<EndpointRow[]> {
+    return Promise.resolve(computeShare(rows, settings, among));
+  }
   const server = await startLinkServer(
     settings.peerAddress,
     () => follower.findHost(),
@@ -57,13 +68,18 @@
     log,
     readReport,
     heardVersion: options.heardVersion,
-    startHost: (epoch) =>
+    startHost: ({ soloAmong, ...start }) =>
       startSchedulerHost({
-        epoch,
+        ...start,
+        isSolo: soloAmong !== undefined,
         settings,
-        ports,
+        ports: soloAmong
+          ? {
+            ...ports,
+            readEndpoints: () => readShare(endpoints.read(), soloAmong),
+          }
+          : ports,
         log,
-        superseded: () => follower.doubt(),
         configurationVersion: options.configurationVersion,
       }),
   });
@@ -96,6 +112,7 @@
     stop: async () => {
       follower.stop();
       beat.stop();
+      endpoints.stop();
       jobs.close();
       await server.stop();
     },
