Tests of the scheduler without network, of succession, and of nodes on stand-ins of the platform

Change: a driver that sets the time and plays listings, replies, silence and stops by hand; stand-ins of the platform's store (conditions, feeds, lost answers, silence) and of its endpoints (tokens, leases, late starts); three nodes as real processes with a scheduler that is killed, paused and asked to stop; a check that the platform's names stay in platform/. Conclusion: the uncertain runs' rules are now written down as statements.

--- a/scripts/build_bundles.ts
+++ b/scripts/build_bundles.ts
@@ -7,6 +7,7 @@
       chivegrade: "src/main.ts",
       stand_ins: "stand_ins/main.ts",
       naive: "bench/naive/main.ts",
+      node: "platform/main.ts",
     },
     bundle: true,
     platform: "node",
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -126,7 +126,7 @@
   };
 
   /** What the earlier scheduler has begun must be known before another gets the jobs. */
-  async function leaveLink(): Promise<void> {
+  async function closeOldLink(): Promise<void> {
     if (!link || solo) return;
     isLeaving = true;
     await link.leave();
@@ -172,7 +172,7 @@
         next.close();
         return;
       }
-      await leaveLink();
+      await closeOldLink();
       if (isDead) return;
       endSolo();
       setLink(next, value.incarnation);
@@ -236,7 +236,7 @@
     if (!await writeRow() || !row) return;
     const { epoch } = row.value;
     endSolo();
-    await leaveLink();
+    await closeOldLink();
     host = options.startHost({
       epoch,
       token: computeToken(epoch, 0),
@@ -257,10 +257,10 @@
     if (host && watcher.isLost()) endHost("superseded while cut off");
   }
 
-  async function raiseEpoch(): Promise<void> {
+  async function beginEpoch(): Promise<void> {
     if (!host || !row) return;
     raisedMs = readMonotonicMs();
-    if (await writeRow()) host.raise(row.value.epoch);
+    if (await writeRow()) host.beginEpoch(row.value.epoch);
   }
 
   function beginSolo(): void {
@@ -288,7 +288,7 @@
   async function act(): Promise<void> {
     if (host) {
       const isDue = readMonotonicMs() - raisedMs > RAISE_MS;
-      if (isDue && host.listReturned().size > 0) await raiseEpoch();
+      if (isDue && host.listReturned().size > 0) await beginEpoch();
       return;
     }
     if (isAsked) {
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -13,7 +13,7 @@
   /** Data centres whose lost VMs are all back, and where endpoints still obey a VM that had served alone. */
   listReturned(): Set<string>;
   /** Goes on under a later epoch, and takes those endpoints back. */
-  raise(epoch: number): void;
+  beginEpoch(epoch: number): void;
   /** Gives up at once: starts nothing more. */
   stop(): void;
 };
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -6,7 +6,7 @@
 import type { Effect } from "../scheduler/effect.ts";
 import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
 import { loseVm } from "../scheduler/lose_vm.ts";
-import { reclaimEndpoints } from "../scheduler/reclaim_endpoints.ts";
+import { takeBackEndpoints } from "../scheduler/take_back_endpoints.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 import { submitJob } from "../scheduler/submit_job.ts";
 import { takeEffects } from "../scheduler/take_effects.ts";
@@ -193,11 +193,11 @@
     return returned;
   }
 
-  function raise(later: number): void {
+  function beginEpoch(later: number): void {
     const returned = listReturned();
     epoch = later;
     const token = computeToken(later, 0);
-    act(() => reclaimEndpoints(state, token, returned));
+    act(() => takeBackEndpoints(state, token, returned));
   }
 
   function sendBeat(): void {
@@ -221,7 +221,7 @@
       return epoch;
     },
     listReturned,
-    raise,
+    beginEpoch,
     attach,
     listSuccessors,
     resign: (reason) => {
--- /dev/null
+++ b/test/platform/node_test.ts
@@ -0,0 +1,187 @@
+import assert from "node:assert/strict";
+import { after, before, describe, test } from "node:test";
+import { postJob } from "../fixtures/post_job.ts";
+import { createConfiguration, startNodes } from "../fixtures/start_nodes.ts";
+import { waitFor } from "../fixtures/wait_for.ts";
+
+/** Ids are 16 hexadecimal digits. */
+function createId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
+type System = Awaited<ReturnType<typeof startNodes>>;
+
+/** No task has two runs at the same time. */
+function checkRuns(system: System): void {
+  const runs = system.workers.flatMap(({ history }) => history);
+  for (const one of runs) {
+    for (const other of runs) {
+      if (one === other || one.task !== other.task) continue;
+      const begunBefore = one.beganMs <= other.beganMs;
+      if (!begunBefore) continue;
+      const endedMs = one.endedMs ?? Infinity;
+      assert.ok(endedMs <= other.beganMs, `${one.task} ran twice at once`);
+    }
+  }
+}
+
+describe("nodes on the platform", () => {
+  let system: System;
+  before(async () => {
+    system = await startNodes({ nodes: 3, workers: 4, runMs: 100 });
+  });
+  after(() => system.stop());
+
+  test("jobs handed to any node are completed", async () => {
+    const replies = await Promise.all(
+      Array.from(
+        { length: 12 },
+        (_, index) =>
+          postJob(system.nodes[index % 3], createId(index), { tasks: 3 }),
+      ),
+    );
+
+    assert.deepEqual(replies.map(({ status }) => status), Array(12).fill(200));
+    assert.deepEqual(replies[0].body, { state: "completed" });
+    checkRuns(system);
+  });
+
+  test("the same id at two nodes at once is one job", async () => {
+    const id = createId(100);
+    const replies = await Promise.all(
+      system.nodes.map((node) => postJob(node, id)),
+    );
+
+    assert.ok(replies.every(({ status }) => status === 200));
+    const runs = system.workers.flatMap(({ history }) => history)
+      .filter(({ task }) => task.startsWith(id));
+    assert.equal(runs.length, 1);
+  });
+
+  test("a path of no route is answered 404, and a new route is in force soon", async () => {
+    const path = `/spreads/${createId(101)}`;
+    const [node] = system.nodes;
+    assert.equal((await postJob(node, "", { path })).status, 404);
+
+    const routes = ["/proofs/", "/spreads/"];
+    system.store.put("op", "config", createConfiguration(2, routes));
+
+    await waitFor(async () => {
+      return (await postJob(node, "", { path })).status === 200;
+    }, 2_000);
+  });
+
+  test("a job of a kind that is not run is refused as not run", async () => {
+    const body = { spec: "{}", steps: [{ count: 1, cpu: 1 }] };
+
+    const reply = await postJob(system.nodes[0], createId(102), { body });
+
+    assert.equal(reply.status, 503);
+  });
+
+  test("a job that fits nowhere is refused at once with the time to come back", async () => {
+    const body = {
+      spec: "{}",
+      bestEffort: true,
+      steps: [{ count: 1, cpu: 99_000, estimateMs: 100 }],
+    };
+
+    const reply = await postJob(system.nodes[0], createId(103), { body });
+
+    assert.equal(reply.status, 503);
+    assert.ok(Number(reply.headers["retry-after"]) >= 1);
+  });
+
+  test("a start that is carried out late runs no task twice", async () => {
+    const [worker] = system.workers;
+    worker.faults.lateStartMs = 600;
+    const replies = await Promise.all(
+      Array.from(
+        { length: 6 },
+        (_, index) => postJob(system.nodes[1], createId(200 + index)),
+      ),
+    );
+    worker.faults.lateStartMs = undefined;
+
+    assert.ok(replies.every(({ status }) => status === 200));
+    await new Promise((resolve) => setTimeout(resolve, 900));
+    checkRuns(system);
+  });
+
+  test("the store's silence stops no job", async () => {
+    system.store.faults.isSilent = true;
+    await new Promise((resolve) => setTimeout(resolve, 1_500));
+    const reply = await postJob(system.nodes[2], createId(300));
+    system.store.faults.isSilent = false;
+
+    assert.equal(reply.status, 200);
+  });
+});
+
+describe("a scheduler that goes", () => {
+  test("one that is killed is replaced, and jobs that waited are completed", async () => {
+    const system = await startNodes({ nodes: 3, workers: 2, runMs: 400 });
+    try {
+      const scheduler = system.findScheduler();
+      const others = system.nodes.filter((node) => node !== scheduler);
+      const replies = Array.from(
+        { length: 8 },
+        (_, index) => postJob(others[index % 2], createId(index)),
+      );
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      scheduler.child.kill("SIGKILL");
+
+      const statuses = (await Promise.all(replies)).map(({ status }) => status);
+
+      assert.deepEqual(statuses, Array(8).fill(200));
+      checkRuns(system);
+      assert.notEqual(system.findScheduler(), scheduler);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("one that is paused is replaced, and starts nothing when it wakes", async () => {
+    const system = await startNodes({ nodes: 3, workers: 2, runMs: 300 });
+    try {
+      const scheduler = system.findScheduler();
+      const others = system.nodes.filter((node) => node !== scheduler);
+      const replies = Array.from(
+        { length: 8 },
+        (_, index) => postJob(others[index % 2], createId(index)),
+      );
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      scheduler.child.kill("SIGSTOP");
+      const statuses = (await Promise.all(replies)).map(({ status }) => status);
+      scheduler.child.kill("SIGCONT");
+      const late = await postJob(scheduler, createId(99));
+
+      assert.deepEqual(statuses, Array(8).fill(200));
+      assert.equal(late.status, 200);
+      checkRuns(system);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("one that is asked to stop hands over, cuts off nothing and ends by itself", async () => {
+    const system = await startNodes({ nodes: 2, workers: 2, runMs: 300 });
+    try {
+      const scheduler = system.findScheduler();
+      const replies = Array.from(
+        { length: 6 },
+        (_, index) => postJob(system.nodes[index % 2], createId(index)),
+      );
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      scheduler.child.kill("SIGTERM");
+
+      const statuses = (await Promise.all(replies)).map(({ status }) => status);
+
+      assert.deepEqual(statuses, Array(6).fill(200));
+      assert.equal(await scheduler.exited, 0);
+      checkRuns(system);
+    } finally {
+      await system.stop();
+    }
+  });
+});
--- /dev/null
+++ b/test/scheduler/placing_test.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+
+describe("placing tasks", () => {
+  test("tasks start only where their room is free", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+
+    driver.submit({ id: "j", steps: [createStep(6)] });
+
+    assert.equal(driver.starts.length, 4);
+    for (const { used, row } of driver.state.endpoints.values()) {
+      assert.ok(used.cpu <= row.room.cpu);
+    }
+  });
+
+  test("nothing starts on an endpoint that has not told what it runs", () => {
+    const driver = createSchedulerDriver();
+    driver.addEndpoint("e1");
+
+    driver.submit({ id: "j" });
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e1");
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a job is complete when all its tasks are done", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", steps: [createStep(2)] });
+    const [one, other] = driver.starts;
+
+    driver.end(one, "done", 1);
+    assert.equal(driver.outcomes.has("j"), false);
+    driver.end(other, "done", 2);
+
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("a step waits for the steps before it", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({
+      id: "j",
+      steps: [createStep(1), createStep(1, { after: [0] })],
+    });
+    assert.equal(driver.starts.length, 1);
+
+    driver.end(driver.starts[0], "done", 1);
+
+    assert.equal(driver.starts.length, 2);
+    assert.equal(driver.starts[1].task.step, 1);
+  });
+
+  test("a draining endpoint and one that is no longer listed get nothing new", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.updateRow("e1", { isDraining: true });
+    driver.dropRow("e2");
+
+    driver.submit({ id: "j" });
+
+    assert.equal(driver.starts.length, 0);
+  });
+
+  test("labels and the most tasks of a step on one endpoint are kept", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("plain");
+    driver.addIdleEndpoint("labelled", { labels: ["gpu"] });
+    const step = createStep(2, { requiredLabel: "gpu", mostPerEndpoint: 1 });
+
+    driver.submit({ id: "j", steps: [step] });
+
+    assert.equal(driver.starts.length, 1);
+    assert.equal(driver.starts[0].endpointId, "labelled");
+  });
+
+  test("a job that fits no endpoint is refused at once", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    const room = { cpu: 99_000, memoryMb: 1, gpus: 0 };
+
+    driver.submit({ id: "j", steps: [createStep(1, { room })] });
+
+    const outcome = driver.outcomes.get("j");
+    assert.equal(outcome?.type, "refused");
+    assert.equal(outcome?.type === "refused" && outcome.reason, "neverFits");
+  });
+
+  test("the same id again joins the job that is there", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.submit({ id: "j" });
+    assert.equal(driver.starts.length, 1);
+
+    driver.end(driver.starts[0], "done", 1);
+    driver.outcomes.clear();
+    driver.submit({ id: "j" });
+
+    assert.equal(driver.starts.length, 1);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("a task fails the job only when its attempts are used up", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.submit({ id: "j", maxAttempts: 2 });
+
+    driver.end(driver.starts[0], "failed", 1);
+    assert.equal(driver.outcomes.has("j"), false);
+    assert.notEqual(
+      driver.starts[1].endpointId,
+      driver.starts[0].endpointId,
+    );
+    driver.end(driver.starts[1], "failed", 1);
+
+    assert.deepEqual(driver.outcomes.get("j"), {
+      type: "failed",
+      reason: "attemptsUsed",
+    });
+  });
+
+  test("an endpoint that fails what it starts rests", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j1" });
+    driver.end(driver.starts[0], "failed", 1);
+    driver.submit({ id: "j2" });
+    driver.end(driver.starts[1], "failed", 2);
+
+    driver.submit({ id: "j3" });
+
+    assert.equal(driver.starts.length, 2);
+  });
+});
--- /dev/null
+++ b/test/scheduler/succession_test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { loseVm } from "../../src/scheduler/lose_vm.ts";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+
+const RESUBMITTED = { done: [], placed: [], isResubmitted: true };
+
+describe("taking over from another scheduler", () => {
+  test("a run that an endpoint lists goes on and is not started again", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addEndpoint("e1");
+    driver.list("e1", { running: [{ task: "j.0.0.0", run: 100_001 }] });
+
+    driver.submit({ id: "j" }, RESUBMITTED);
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 100_001, how: "done" }],
+    });
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("a task waits until every endpoint that might run it has been heard", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.addEndpoint("e2");
+
+    driver.submit({ id: "j" }, RESUBMITTED);
+    driver.advanceTo(20);
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e2", { running: [{ task: "j.0.0.0", run: 100_001 }] });
+    driver.advanceTo(40);
+    assert.equal(driver.starts.length, 0);
+    assert.equal(driver.state.endpoints.get("e2")?.runs.size, 1);
+  });
+
+  test("a task that was placed on an endpoint the list lacks waits though all others were heard", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+
+    driver.submit({ id: "j" }, {
+      ...RESUBMITTED,
+      placed: [{ task: "j.0.0.0", endpointId: "cut-off" }],
+    });
+    driver.advanceTo(1_000);
+    assert.equal(driver.starts.length, 0);
+
+    driver.advanceTo(2_600);
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("tasks that are known as done are not started again", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+
+    driver.submit({ id: "j", steps: [createStep(2)] }, {
+      ...RESUBMITTED,
+      done: ["j.0.0.0"],
+    });
+    driver.advanceTo(20);
+
+    assert.deepEqual(driver.starts.map(({ task }) => task.name), ["j.0.0.1"]);
+  });
+
+  test("a job that another scheduler may have begun is never answered as not run", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", ageMs: 60_000 }, RESUBMITTED);
+
+    driver.advanceTo(3_000);
+
+    assert.equal(driver.outcomes.get("j")?.type, "failed");
+  });
+
+  test("a job whose VM is lost starts nothing more", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", steps: [createStep(3)] });
+    assert.equal(driver.starts.length, 2);
+    loseVm(driver.state, "vm-1", { how: "silent", nowMs: 0 });
+
+    driver.end(driver.starts[0], "done", 1);
+
+    assert.equal(driver.starts.length, 2);
+  });
+
+  test("a lost VM's job is joined again by another VM", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    loseVm(driver.state, "vm-1", { how: "closed", nowMs: 0 });
+    driver.submit({ id: "j" });
+
+    driver.end(driver.starts[0], "done", 1);
+
+    assert.equal(driver.starts.length, 1);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("a VM that serves alone stops others' runs and starts nothing beside them", () => {
+    const driver = createSchedulerDriver({ token: 101, isSolo: true });
+    driver.addEndpoint("e1");
+    driver.list("e1", { running: [{ task: "other.0.0.0", run: 100_001 }] });
+
+    driver.submit({ id: "j" });
+    driver.advanceTo(20);
+    assert.equal(driver.starts.length, 0);
+    assert.deepEqual(driver.stops.map(({ task }) => task), ["other.0.0.0"]);
+
+    driver.list("e1");
+    assert.equal(driver.starts.length, 1);
+  });
+});
--- /dev/null
+++ b/test/scheduler/uncertain_runs_test.ts
@@ -0,0 +1,108 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+
+describe("runs whose fate is not known", () => {
+  test("a start without an answer is stopped, and the task starts elsewhere only when the stop has taken effect", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.submit({ id: "j" });
+    const [start] = driver.starts;
+
+    driver.reply(start, { type: "unanswered" });
+    assert.equal(driver.stops.length, 1);
+    driver.advanceTo(500);
+    assert.equal(driver.starts.length, 1);
+
+    driver.confirmStop(start);
+    driver.advanceTo(540);
+    assert.equal(driver.starts.length, 1);
+    driver.advanceTo(560);
+    assert.equal(driver.starts.length, 2);
+    assert.ok(driver.starts[1].run > start.run);
+  });
+
+  test("a start without an answer that did run counts when its end is listed", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.reply(driver.starts[0], { type: "unanswered" });
+
+    driver.end(driver.starts[0], "done", 1);
+
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a silent endpoint's runs are over only when its lease has ended on a clock that may be slow", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.reply(driver.starts[0], { type: "accepted" });
+    driver.addIdleEndpoint("e2");
+    driver.advanceTo(100);
+    driver.silence("e1");
+
+    driver.advanceTo(1_090);
+    assert.equal(driver.starts.length, 1);
+    driver.advanceTo(1_150);
+
+    assert.equal(driver.starts.length, 2);
+    assert.equal(driver.starts[1].endpointId, "e2");
+  });
+
+  test("an endpoint that began anew runs nothing of before", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.reply(driver.starts[0], { type: "accepted" });
+
+    driver.list("e1", { bornMs: 2 });
+
+    assert.equal(driver.starts.length, 2);
+    assert.ok(driver.starts[1].run > driver.starts[0].run);
+  });
+
+  test("a run that a listing from before its start lacks is not taken as missing", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.advanceTo(5);
+    driver.reply(driver.starts[0], { type: "accepted" });
+
+    driver.list("e1", { sentMs: 4, receivedMs: 6 });
+    assert.equal(driver.starts.length, 1);
+    driver.list("e1", { sentMs: 7, receivedMs: 8 });
+    assert.equal(driver.starts.length, 2);
+  });
+
+  test("a job that ends stops what still runs of it", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", maxAttempts: 1, steps: [createStep(2)] });
+    const [one, other] = driver.starts;
+    driver.reply(one, { type: "accepted" });
+    driver.reply(other, { type: "accepted" });
+
+    driver.end(one, "failed", 1);
+
+    assert.equal(driver.outcomes.get("j")?.type, "failed");
+    assert.deepEqual(driver.stops.map(({ task }) => task), [other.task.name]);
+  });
+
+  test("a rejection for want of room starts the task elsewhere", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.addIdleEndpoint("e2");
+
+    driver.reply(driver.starts[0], { type: "rejected", reason: "noRoom" });
+
+    assert.equal(driver.starts.length, 2);
+    assert.equal(driver.starts[1].endpointId, "e2");
+  });
+});
--- a/test/style/style_test.ts
+++ b/test/style/style_test.ts
@@ -5,6 +5,29 @@
 
 const FOLDERS = ["src", "platform", "stand_ins", "bench", "demo"];
 
+/** Words of the users' platform that only its adapter and its stand-ins may know. */
+const PLATFORM_NAMES = [
+  "minions?",
+  "lastSeen",
+  "fenceToken",
+  "freeCapacity",
+  "coldLeftMs",
+  "runId",
+  "rows-tx",
+  "rows-get",
+  "rows-feed",
+  "run-start",
+  "run-stop",
+  "expectedRev",
+  "setKeys",
+  "bestEffort",
+  "antiAffinity",
+  "pathPrefix",
+  "latencySloMs",
+  "maxHoldMs",
+  "memMb",
+];
+
 function listFiles(): string[] {
   return FOLDERS.flatMap((folder) =>
     readdirSync(folder, { recursive: true, encoding: "utf8" })
@@ -30,6 +53,16 @@
     assert.deepEqual(crowded, []);
   });
 
+  test("the platform's names stay in platform/", () => {
+    const names = new RegExp(`\\b(${PLATFORM_NAMES.join("|")})\\b`, "i");
+    const leaks = listFiles()
+      .filter((file) => !file.startsWith("platform/"))
+      .filter((file) => !file.startsWith("stand_ins/node/"))
+      .filter((file) => names.test(readFileSync(file, "utf8")));
+
+    assert.deepEqual(leaks, []);
+  });
+
   test("functions begin with a verb of the list in docs/STYLE.md", () => {
     const verbs = listVerbs();
     const others = listFiles().flatMap((file) =>
