Runs are followed by their progress; begun jobs go first; a slow store makes no scheduler resign

Change: the listings' progress predicts each run's end: endpoints that turned slow are learnt at once, runs that will be late are stopped and started elsewhere if that is sooner; rank by in time with a margin, begun, priority, arrival; resign after 2 s, and only to a VM that reaches the store; a listing must be younger than the solo time.

--- a/scripts/build_bundles.ts
+++ b/scripts/build_bundles.ts
@@ -1,3 +1,4 @@
+import { execFileSync } from "node:child_process";
 import { build } from "esbuild";
 
 /** Bundles the product, the stand-ins and the naive version for tests and benches that start real processes. */
@@ -7,7 +8,6 @@
       chivegrade: "src/main.ts",
       stand_ins: "stand_ins/main.ts",
       naive: "bench/naive/main.ts",
-      node: "platform/main.ts",
     },
     bundle: true,
     platform: "node",
@@ -18,4 +18,5 @@
     external: ["unix-dgram"],
     logLevel: "warning",
   });
+  execFileSync(process.execPath, ["scripts/build_node.mjs", "dist/test/node"]);
 }
--- a/src/decide/compute_rank.ts
+++ b/src/decide/compute_rank.ts
@@ -4,14 +4,19 @@
 const TIER = 1e10;
 /** Priorities below this many come before the next tier. */
 const PRIORITIES = 100;
+/** A job counts as in time only if its run may take this many times longer than expected. */
+const MARGIN = 1.25;
 
 /**
  * Ranks a waiting job; the lowest goes first. Load it answers: more work than
- * room. Jobs that can still be in time go before those that are late already,
- * then by declared priority, then by arrival.
+ * room. Jobs that can still be in time go before those that are late already;
+ * among each, those that have begun, as half a job serves nobody, then by
+ * declared priority, then by arrival.
  */
 export function computeRank(job: ScheduledJob, nowMs: number): number {
-  const isLate = nowMs + job.chainMs > job.objectiveMs;
-  const tier = (isLate ? PRIORITIES : 0) + job.order.priority;
+  const isLate = nowMs + job.chainMs * MARGIN > job.objectiveMs;
+  const group = (isLate ? 2 : 0) + (job.isBegun ? 0 : 1);
+  const tier = group * PRIORITIES +
+    Math.min(job.order.priority, PRIORITIES - 1);
   return tier * TIER + job.arrivedMs;
 }
--- /dev/null
+++ b/src/metrics/create_registry.ts
@@ -0,0 +1,77 @@
+import type { Registry } from "./registry.ts";
+
+/** Upper bounds of the histograms' buckets, in ms: from a round trip to the longest wait of a caller. */
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
+/** Begins the name of each metric. */
+const PREFIX = "chivegrade_";
+
+type Histogram = { counts: number[]; sum: number; total: number };
+
+/**
+ * Creates a registry. The client library of the text format takes as long to
+ * load as the rest of the program, which each restarted process would pay.
+ */
+export function createRegistry(): Registry {
+  const counters = new Map<string, Map<string, number>>();
+  const histograms = new Map<string, Histogram>();
+  const levels = new Map<string, () => number>();
+
+  function formatHistogram(name: string, histogram: Histogram): string[] {
+    let sum = 0;
+    const lines = BUCKETS_MS.map((bound, index) => {
+      sum += histogram.counts[index];
+      return `${PREFIX}${name}_bucket{le="${bound}"} ${sum}`;
+    });
+    return [
+      `# TYPE ${PREFIX}${name} histogram`,
+      ...lines,
+      `${PREFIX}${name}_bucket{le="+Inf"} ${histogram.total}`,
+      `${PREFIX}${name}_sum ${histogram.sum}`,
+      `${PREFIX}${name}_count ${histogram.total}`,
+    ];
+  }
+
+  return {
+    count: (name, labels = {}) => {
+      const series = counters.get(name) ?? new Map<string, number>();
+      counters.set(name, series);
+      const key = formatLabels(labels);
+      series.set(key, (series.get(key) ?? 0) + 1);
+    },
+    observe: (name, durationMs) => {
+      const histogram = histograms.get(name) ??
+        { counts: BUCKETS_MS.map(() => 0), sum: 0, total: 0 };
+      histograms.set(name, histogram);
+      histogram.sum += durationMs;
+      histogram.total += 1;
+      const index = BUCKETS_MS.findIndex((bound) => durationMs <= bound);
+      if (index >= 0) histogram.counts[index] += 1;
+    },
+    setLevel: (name, read) => {
+      levels.set(name, read);
+    },
+    formatText: () => {
+      const lines: string[] = [];
+      for (const [name, series] of counters) {
+        lines.push(`# TYPE ${PREFIX}${name}_total counter`);
+        for (const [labels, value] of series) {
+          lines.push(`${PREFIX}${name}_total${labels} ${value}`);
+        }
+      }
+      for (const [name, histogram] of histograms) {
+        lines.push(...formatHistogram(name, histogram));
+      }
+      for (const [name, read] of levels) {
+        lines.push(`# TYPE ${PREFIX}${name} gauge`);
+        lines.push(`${PREFIX}${name} ${read()}`);
+      }
+      return lines.join("\n") + "\n";
+    },
+  };
+}
+
+function formatLabels(labels: Record<string, string>): string {
+  const parts = Object.entries(labels)
+    .map(([name, value]) => `${name}="${value.replace(/["\\\n]/g, "_")}"`);
+  return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+}
--- a/src/peer/load_peer_services.ts
+++ b/src/peer/load_peer_services.ts
@@ -7,22 +7,14 @@
 export function loadPeerServices(): {
   entry: ServiceClientConstructor;
   control: ServiceClientConstructor;
-  scheduler: ServiceClientConstructor;
 } {
   const definition = fromJSON(
     descriptor as Parameters<typeof fromJSON>[0],
-    {
-      longs: Number,
-      enums: String,
-      defaults: true,
-      arrays: true,
-      oneofs: true,
-    },
+    { longs: Number, enums: String, defaults: true, arrays: true },
   );
   const root = loadPackageDefinition(definition).chivegrade as GrpcObject;
   return {
     entry: root.Entry as ServiceClientConstructor,
     control: root.Control as ServiceClientConstructor,
-    scheduler: root.Scheduler as ServiceClientConstructor,
   };
 }
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -40,8 +40,9 @@
     }
     if (!progress.isResubmitted) continue;
     const place = places.get(task.name);
-    if (place === undefined || !isListed(state, place)) {
+    if (place === undefined || progress.wasSolo || !isListed(state, place)) {
       task.unaccountedUntilMs = nowMs + UNACCOUNTED_MS;
+      task.unaccountedSinceMs = progress.wasSolo ? nowMs : 0;
     }
     if (place !== undefined) task.endpointId = place;
   }
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -1,6 +1,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { endJob } from "./end_job.ts";
 import { forgetRuns } from "./forget_runs.ts";
+import { replaceStragglers } from "./replace_stragglers.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
@@ -28,6 +29,7 @@
     stopStrangers(state, endpoint, nowMs);
   }
   endJobs(state, nowMs);
+  replaceStragglers(state, nowMs);
   reviewUnaccounted(state, nowMs);
   reviewWaiting(state, nowMs);
   placeTasks(state, nowMs);
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -4,6 +4,7 @@
 import { forgetRuns } from "./forget_runs.ts";
 import { recordClock } from "./record_clock.ts";
 import { recordStranger } from "./record_stranger.ts";
+import { learnProgress } from "./learn_progress.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
@@ -26,6 +27,7 @@
     endpoint.lastEnd = 0;
   }
   endpoint.bornMs = listing.bornMs;
+  endpoint.listedMs = listing.sentMs;
   recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
   if (endpoint.phase === "taken") forgetRuns(state, endpoint, "taken");
   for (const end of listing.ended) applyEnd(state, endpoint, { end, nowMs });
@@ -68,15 +70,16 @@
 ): void {
   const nowMs = listing.receivedMs;
   const listed = new Map(listing.running.map(({ task, run }) => [task, run]));
-  for (const [name, run] of listed) {
+  for (const { task: name, run, progress } of listing.running) {
     const task = endpoint.runs.get(name);
     if (!task || task.run !== run) {
       recordStranger(state, endpoint, { task: name, run, nowMs });
       continue;
     }
+    if (task.confirmedMs === 0) task.confirmedMs = nowMs;
+    learnProgress(state, endpoint, { task, progress, nowMs });
     if (task.phase !== "starting" && task.phase !== "unsure") continue;
     task.phase = "running";
-    task.confirmedMs = nowMs;
   }
   for (const task of [...endpoint.runs.values()]) {
     const isMissing = task.confirmedMs > 0 &&
--- a/src/scheduler/effect.ts
+++ b/src/scheduler/effect.ts
@@ -28,6 +28,8 @@
   | "endpointSilent"
   | "endpointLapsed"
   | "endpointTaken"
+  | "endpointSlow"
+  | "taskMoved"
   | "endpointReclaimed"
   | "endpointReborn"
   | "endpointRested"
--- a/src/scheduler/endpoint_listing.ts
+++ b/src/scheduler/endpoint_listing.ts
@@ -10,6 +10,7 @@
   clockMs: number;
   /** Unix ms at which the endpoint's process began. */
   bornMs: number;
-  running: { task: string; run: number }[];
+  /** `progress` is the part that is done, 0 to 1. */
+  running: { task: string; run: number; progress: number }[];
   ended: RunEnd[];
 };
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -18,6 +18,8 @@
   strangers: Map<string, StrangerRun>;
   /** Number of the last end that was taken note of. */
   lastEnd: number;
+  /** When the last listing that came was asked for, in ms. */
+  listedMs: number;
   /** The endpoint's clock at `heardMs`, in ms. */
   clockMs: number;
   /** When the endpoint was last heard, by the scheduler's clock, in ms. */
--- a/src/scheduler/known_progress.ts
+++ b/src/scheduler/known_progress.ts
@@ -6,4 +6,6 @@
   placed: { task: string; endpointId: string }[];
   /** Whether the job was handed to another scheduler before. */
   isResubmitted: boolean;
+  /** Whether the VM had served it alone, under a later token than the scheduler's. */
+  wasSolo: boolean;
 };
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -50,6 +50,8 @@
   task.sentMs = nowMs;
   task.confirmedMs = 0;
   task.clearMs = 0;
+  task.progress = 0;
+  task.expectedEndMs = 0;
   job.isBegun = true;
   job.waitingCount -= 1;
   if (job.waitingCount === 0) state.waiting.delete(job);
--- a/src/scheduler/review_unaccounted.ts
+++ b/src/scheduler/review_unaccounted.ts
@@ -10,12 +10,17 @@
       const isOver = nowMs > task.unaccountedUntilMs;
       const isSettled = task.endpointId === undefined
         ? areAllListed
-        : isListed(state, task.endpointId);
+        : isListed(state, task.endpointId, task.unaccountedSinceMs);
       if (isOver || isSettled) task.unaccountedUntilMs = 0;
     }
   }
 }
 
-function isListed(state: SchedulerState, endpointId: string): boolean {
-  return state.endpoints.get(endpointId)?.phase === "usable";
+function isListed(
+  state: SchedulerState,
+  endpointId: string,
+  sinceMs: number,
+): boolean {
+  const endpoint = state.endpoints.get(endpointId);
+  return endpoint?.phase === "usable" && endpoint.listedMs >= sinceMs;
 }
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -23,4 +23,12 @@
   failedOn: string[];
   /** Another scheduler may have started it at an endpoint not heard since; until then it waits, in ms. 0 when accounted for. */
   unaccountedUntilMs: number;
+  /** Only a listing asked for after this says whether the endpoint runs it, in ms. */
+  unaccountedSinceMs: number;
+  /** Done part of the latest run as last listed, 0 to 1. */
+  progress: number;
+  /** When the latest run will end as far as its progress tells, in ms; 0 before it tells. */
+  expectedEndMs: number;
+  /** Runs that were stopped because another endpoint will be done sooner. */
+  moves: number;
 };
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -118,5 +118,9 @@
     failures: 0,
     failedOn: [],
     unaccountedUntilMs: 0,
+    unaccountedSinceMs: 0,
+    progress: 0,
+    expectedEndMs: 0,
+    moves: 0,
   };
 }
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -57,6 +57,7 @@
     runs: new Map(),
     strangers: new Map(),
     lastEnd: 0,
+    listedMs: 0,
     clockMs: 0,
     heardMs: 0,
     leaseEndMs: 0,
--- a/src/vm/create_open_jobs.ts
+++ b/src/vm/create_open_jobs.ts
@@ -21,10 +21,13 @@
   function hand(job: OpenJob): void {
     if (!link) return;
     const isResubmitted = job.handedTo !== 0;
+    const { wasSolo } = job;
     job.handedTo = link.epoch;
+    job.wasSolo ||= link.isSolo;
     const ageMs = readMonotonicMs() - job.receivedMs;
     link.submit({ ...job.order, ageMs }, {
       isResubmitted,
+      wasSolo,
       done: [...job.done],
       placed: [...job.placed].map(([task, endpointId]) => ({
         task,
@@ -66,6 +69,7 @@
         receivedMs: readMonotonicMs(),
         answer: [answer],
         handedTo: 0,
+        wasSolo: false,
         placed: new Map(),
         done: new Set(),
       };
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -23,7 +23,7 @@
 /** How often a linked VM looks whether something is asked of it, in ms. */
 const LOOK_MS = 20;
 /** A VM that reaches no scheduler for this long serves its callers alone, in ms; a takeover is faster. */
-const SOLO_MS = 1_000;
+const SOLO_MS = 700;
 /** Time between two raises of the epoch, in ms: the endpoints answer the first within it. */
 const RAISE_MS = 700;
 /** The same for a process that has just begun, when all may be starting, in ms. */
@@ -144,6 +144,7 @@
     attachment.report(options.readReport());
     setLink({
       epoch: current.epoch,
+      isSolo: current === solo,
       submit: attachment.submit,
       abandon: attachment.abandon,
       leave: () => Promise.resolve(attachment.leave()),
@@ -312,18 +313,23 @@
         log("takeoverFailed", { message: readError(thrown).message });
         isAsked = false;
       }
-      const limitMs = wasLinked ? SOLO_MS : FIRST_SOLO_MS;
-      const isLost = !link && readMonotonicMs() - lostMs > limitMs;
-      if (isLost && !isStopped) beginSolo();
       await waitMs(link && !solo ? LOOK_MS : AGAIN_MS);
     }
   }
   run();
 
+  /** Apart from the attempts at linking, as those wait for a store or a peer that may be silent. */
+  const soloTimer = setInterval(() => {
+    const limitMs = wasLinked ? SOLO_MS : FIRST_SOLO_MS;
+    const isLost = !link && readMonotonicMs() - lostMs > limitMs;
+    if (isLost && !isStopped) beginSolo();
+  }, AGAIN_MS);
+
   return {
     findHost: () => host,
     stop: () => {
       isStopped = true;
+      clearInterval(soloTimer);
       watcher.stop();
       host?.stop();
       solo?.stop();
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -9,7 +9,7 @@
 /** Time between two beats, in ms. */
 const BEAT_MS = 150;
 /** A scheduler that could not write a beat for this long asks another VM to take over, in ms. */
-const RESIGN_MS = 500;
+const RESIGN_MS = 2_000;
 
 /** Writes the scheduler's beat to the store, and resigns while the store is lost to this VM. */
 export function keepBeat(options: {
--- a/src/vm/link_events.ts
+++ b/src/vm/link_events.ts
@@ -1,3 +1,4 @@
+import type { SchedulerStatus } from "./scheduler_status.ts";
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
 
 /** What comes from the scheduler over a link. */
@@ -6,11 +7,7 @@
   done(task: string): void;
   ended(jobId: string, outcome: JobOutcome): void;
   /** The scheduler's beat: its view of the linked VMs, in the order of succession. */
-  status(status: {
-    epoch: number;
-    successors: { name: string; dataCentre: string }[];
-    configurationVersion: number;
-  }): void;
+  status(status: SchedulerStatus): void;
   /** The scheduler has said all that it had to say: it ends, or this VM has left. */
   left(): void;
   /** The scheduler asks this VM to take over. */
--- a/src/vm/open_job.ts
+++ b/src/vm/open_job.ts
@@ -10,6 +10,8 @@
   answer: ((outcome: JobOutcome) => void)[];
   /** Epoch of the scheduler that has it; 0 before one had it. */
   handedTo: number;
+  /** Whether this VM has served it alone. */
+  wasSolo: boolean;
   /** Where its tasks were sent, by task. */
   placed: Map<string, string>;
   done: Set<string>;
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -1,12 +1,12 @@
 import type { ClientDuplexStream } from "@grpc/grpc-js";
-import { credentials } from "@grpc/grpc-js";
-import { formatSubmit } from "../peer/format_submit.ts";
-import { loadPeerServices } from "../peer/load_peer_services.ts";
-import { parseOutcome } from "../peer/parse_outcome.ts";
-import type { SchedulerMessages } from "../peer/scheduler_messages.ts";
+import { credentials, makeClientConstructor } from "@grpc/grpc-js";
+import { match } from "ts-pattern";
 import { waitMs } from "../utils/wait_ms.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { LINK_SERVICE } from "./link_service.ts";
 import type { LinkEvents } from "./link_events.ts";
+import type { SchedulerMessage } from "./scheduler_message.ts";
+import type { VmMessage } from "./vm_message.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { VmReport } from "./vm_report.ts";
 
@@ -21,12 +21,9 @@
 /** How often the link is looked after, in ms. */
 const LOOK_MS = 50;
 
-type Stream = ClientDuplexStream<
-  SchedulerMessages["fromVm"],
-  SchedulerMessages["toVm"]
->;
+type Stream = ClientDuplexStream<VmMessage, SchedulerMessage>;
 
-const { scheduler: Service } = loadPeerServices();
+const Service = makeClientConstructor(LINK_SERVICE, "Scheduler");
 
 /** Opens a link to a scheduler in another process; resolves once it has spoken. */
 export function openRemoteLink(options: {
@@ -57,15 +54,12 @@
     client.close();
   }
 
+  function send(message: VmMessage): void {
+    stream.write(message);
+  }
+
   function sendReport(): void {
-    const { isDraining, isStoreReachable, ...rest } = options.readReport();
-    stream.write({
-      status: {
-        ...rest,
-        draining: isDraining,
-        storeReachable: isStoreReachable,
-      },
-    });
+    send({ type: "report", report: options.readReport() });
   }
 
   const beater = setInterval(sendReport, BEAT_MS);
@@ -85,42 +79,48 @@
       if (readMonotonicMs() - heardMs > limitMs) lose("silent");
     }, LOOK_MS);
 
-    stream.on("data", (message: SchedulerMessages["toVm"]) => {
+    stream.on("data", (message: SchedulerMessage) => {
       heardMs = readMonotonicMs();
       if (isClosed) return;
-      if (message.status && !isOpen) {
+      if (message.type === "status" && !isOpen) {
         isOpen = true;
         resolve({
           epoch: message.status.epoch,
+          isSolo: false,
           submit: (order, progress) =>
-            stream.write(formatSubmit(order, progress)),
+            send({ type: "submit", order, progress }),
           leave: () => {
-            stream.write({ leave: {} });
+            send({ type: "leave" });
             return Promise.race([left, waitMs(LEAVE_MS)]);
           },
-          abandon: (id) => stream.write({ abandon: { id } }),
+          abandon: (jobId) => send({ type: "abandon", jobId }),
           close,
         });
       }
+      if (message.type === "left") hearLeft();
       passOn(message, options.events);
-      if (message.left) {
-        hearLeft();
-        options.events.left();
-      }
     });
     stream.on("error", () => lose("closed"));
     stream.on("end", () => lose("closed"));
   });
 }
 
-function passOn(
-  message: SchedulerMessages["toVm"],
-  events: LinkEvents,
-): void {
-  const { status, placed, done, ended, resignation } = message;
-  if (status) events.status(status);
-  if (placed) events.placed(placed.task, placed.endpointId);
-  if (done) events.done(done.task);
-  if (ended) events.ended(ended.id, parseOutcome(ended));
-  if (resignation) events.resignation(resignation.reason);
+function passOn(message: SchedulerMessage, events: LinkEvents): void {
+  match(message)
+    .with({ type: "status" }, ({ status }) => events.status(status))
+    .with(
+      { type: "placed" },
+      ({ task, endpointId }) => events.placed(task, endpointId),
+    )
+    .with({ type: "done" }, ({ task }) => events.done(task))
+    .with(
+      { type: "ended" },
+      ({ jobId, outcome }) => events.ended(jobId, outcome),
+    )
+    .with(
+      { type: "resignation" },
+      ({ reason }) => events.resignation(reason),
+    )
+    .with({ type: "left" }, () => events.left())
+    .exhaustive();
 }
--- a/src/vm/running_vm.ts
+++ b/src/vm/running_vm.ts
@@ -11,6 +11,8 @@
   isReady(): boolean;
   isDraining(): boolean;
   isIdle(): boolean;
+  /** Jobs whose callers wait here. */
+  countOpen(): number;
   /** Hands over what this VM holds and resolves when its callers have been answered. */
   drain(): Promise<void>;
   stop(): Promise<void>;
--- a/src/vm/scheduler_link.ts
+++ b/src/vm/scheduler_link.ts
@@ -4,6 +4,8 @@
 /** A VM's way to the scheduler, in this process or another. */
 export type SchedulerLink = {
   epoch: number;
+  /** The VM serves alone. */
+  isSolo: boolean;
   submit(order: JobOrder, progress: KnownProgress): void;
   abandon(jobId: string): void;
   /** Goes to another scheduler; resolves when all has been heard that this one has to say, or it does not answer. */
--- /dev/null
+++ b/src/vm/scheduler_message.ts
@@ -0,0 +1,14 @@
+import type { JobOutcome } from "../scheduler/job_outcome.ts";
+import type { SchedulerStatus } from "./scheduler_status.ts";
+
+/** What the scheduler says to a VM over its link. */
+export type SchedulerMessage =
+  /** Sent first, and then at each beat. */
+  | { type: "status"; status: SchedulerStatus }
+  | { type: "placed"; task: string; endpointId: string }
+  | { type: "done"; task: string }
+  | { type: "ended"; jobId: string; outcome: JobOutcome }
+  /** Asks the VM to take over at once. */
+  | { type: "resignation"; reason: string }
+  /** All that the scheduler had to say has been said. */
+  | { type: "left" };
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -1,11 +1,12 @@
+import { match } from "ts-pattern";
 import type { ServerDuplexStream } from "@grpc/grpc-js";
-import { loadPeerServices } from "../peer/load_peer_services.ts";
-import { parseSubmit } from "../peer/parse_submit.ts";
-import type { SchedulerMessages } from "../peer/scheduler_messages.ts";
 import { startPeerServer } from "../peer/start_peer_server.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import type { Attachment } from "./attachment.ts";
+import { LINK_SERVICE } from "./link_service.ts";
 import type { LinkEvents } from "./link_events.ts";
+import type { SchedulerMessage } from "./scheduler_message.ts";
+import type { VmMessage } from "./vm_message.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 
 /** A linked VM that was not heard for this long is taken as lost, in ms; several of its beats. */
@@ -15,18 +16,14 @@
 /** A link whose reader is this far behind is cut rather than buffered without end, in messages. */
 const MOST_UNREAD = 5_000;
 
-type Stream = ServerDuplexStream<
-  SchedulerMessages["fromVm"],
-  SchedulerMessages["toVm"]
->;
+type Stream = ServerDuplexStream<VmMessage, SchedulerMessage>;
 
 /** Serves links of other VMs while this process is the scheduler; turns them away otherwise. */
 export function startLinkServer(
   address: string,
   findHost: () => SchedulerHost | undefined,
 ): Promise<{ port: number; stop(): Promise<void> }> {
-  const { scheduler } = loadPeerServices();
-  return startPeerServer(address, scheduler.service, {
+  return startPeerServer(address, LINK_SERVICE, {
     Attach: (stream: Stream) => handleLink(stream, findHost()),
   });
 }
@@ -52,27 +49,20 @@
     if (how === "silent") stream.destroy();
   }
 
-  stream.on("data", (message: SchedulerMessages["fromVm"]) => {
+  stream.on("data", (message: VmMessage) => {
     heardMs = readMonotonicMs();
-    const { status, submit, abandon, leave } = message;
-    if (status) {
-      attachment ??= current.attach(
-        status.name,
-        createEvents(stream),
-      );
-      attachment.report({
-        name: status.name,
-        address: status.address,
-        dataCentre: status.dataCentre,
-        isDraining: status.draining,
-        isStoreReachable: status.storeReachable,
-        configurationVersion: status.configurationVersion,
-      });
-    } else if (submit) {
-      const { order, progress } = parseSubmit(submit);
-      attachment?.submit(order, progress);
-    } else if (abandon) attachment?.abandon(abandon.id);
-    else if (leave) attachment?.leave();
+    match(message)
+      .with({ type: "report" }, ({ report }) => {
+        attachment ??= current.attach(report.name, createEvents(stream));
+        attachment.report(report);
+      })
+      .with(
+        { type: "submit" },
+        ({ order, progress }) => attachment?.submit(order, progress),
+      )
+      .with({ type: "abandon" }, ({ jobId }) => attachment?.abandon(jobId))
+      .with({ type: "leave" }, () => attachment?.leave())
+      .exhaustive();
   });
   stream.on("end", () => finish("closed"));
   stream.on("error", () => finish("closed"));
@@ -80,19 +70,13 @@
 }
 
 function createEvents(stream: Stream): LinkEvents {
+  const send = (message: SchedulerMessage) => void stream.write(message);
   return {
-    placed: (task, endpointId) =>
-      stream.write({ placed: { task, endpointId } }),
-    done: (task) => stream.write({ done: { task } }),
-    ended: (id, outcome) => {
-      const reason = outcome.type === "completed" ? "" : outcome.reason;
-      const retryAfterMs = outcome.type === "refused"
-        ? outcome.retryAfterMs
-        : 0;
-      stream.write({ ended: { id, type: outcome.type, reason, retryAfterMs } });
-    },
-    status: (status) => stream.write({ status }),
-    left: () => stream.write({ left: {} }),
-    resignation: (reason) => stream.write({ resignation: { reason } }),
+    placed: (task, endpointId) => send({ type: "placed", task, endpointId }),
+    done: (task) => send({ type: "done", task }),
+    ended: (jobId, outcome) => send({ type: "ended", jobId, outcome }),
+    status: (status) => send({ type: "status", status }),
+    left: () => send({ type: "left" }),
+    resignation: (reason) => send({ type: "resignation", reason }),
   };
 }
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -225,7 +225,9 @@
     attach,
     listSuccessors,
     resign: (reason) => {
-      const [name] = listSuccessors();
+      const name = listSuccessors().find((one) =>
+        reason === "stop" || links.get(one)?.report?.isStoreReachable
+      );
       const chosen = name === undefined ? undefined : links.get(name);
       log("schedulerResigned", { epoch, to: name, reason });
       chosen?.events.resignation(reason);
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -108,6 +108,7 @@
     isReady,
     isDraining: () => isDraining,
     isIdle: jobs.isEmpty,
+    countOpen: jobs.count,
     drain: stopGracefully,
     stop: async () => {
       follower.stop();
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -108,6 +108,18 @@
     checkRuns(system);
   });
 
+  test("metrics tell how many callers were answered, and how fast", async () => {
+    const { metricsAddress } = system.nodes[0];
+    const reply = await fetch(`http://${metricsAddress}/metrics`);
+    const text = await reply.text();
+
+    assert.match(
+      text,
+      /chivegrade_events_total\{event="answered",outcome="completed"\} \d+/,
+    );
+    assert.match(text, /chivegrade_answer_ms_bucket\{le="500"\} \d+/);
+  });
+
   test("the store's silence stops no job", async () => {
     system.store.faults.isSilent = true;
     await new Promise((resolve) => setTimeout(resolve, 1_500));
--- a/test/scheduler/succession_test.ts
+++ b/test/scheduler/succession_test.ts
@@ -6,13 +6,20 @@
   createStep,
 } from "../fixtures/create_scheduler_driver.ts";
 
-const RESUBMITTED = { done: [], placed: [], isResubmitted: true };
+const RESUBMITTED = {
+  done: [],
+  placed: [],
+  isResubmitted: true,
+  wasSolo: false,
+};
 
 describe("taking over from another scheduler", () => {
   test("a run that an endpoint lists goes on and is not started again", () => {
     const driver = createSchedulerDriver({ token: 200 });
     driver.addEndpoint("e1");
-    driver.list("e1", { running: [{ task: "j.0.0.0", run: 100_001 }] });
+    driver.list("e1", {
+      running: [{ task: "j.0.0.0", run: 100_001, progress: 0 }],
+    });
 
     driver.submit({ id: "j" }, RESUBMITTED);
     assert.equal(driver.starts.length, 0);
@@ -32,7 +39,9 @@
     driver.advanceTo(20);
     assert.equal(driver.starts.length, 0);
 
-    driver.list("e2", { running: [{ task: "j.0.0.0", run: 100_001 }] });
+    driver.list("e2", {
+      running: [{ task: "j.0.0.0", run: 100_001, progress: 0 }],
+    });
     driver.advanceTo(40);
     assert.equal(driver.starts.length, 0);
     assert.equal(driver.state.endpoints.get("e2")?.runs.size, 1);
@@ -53,6 +62,26 @@
     assert.equal(driver.starts.length, 1);
   });
 
+  test("a task that a VM had started alone waits for a listing asked for after that", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.advanceTo(100);
+
+    driver.submit({ id: "j" }, {
+      ...RESUBMITTED,
+      wasSolo: true,
+      placed: [{ task: "j.0.0.0", endpointId: "e1" }],
+    });
+    driver.list("e1", { sentMs: 90 });
+    driver.advanceTo(120);
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e1", { sentMs: 120 });
+    driver.advanceTo(140);
+    assert.equal(driver.starts.length, 1);
+  });
+
   test("tasks that are known as done are not started again", () => {
     const driver = createSchedulerDriver({ token: 200 });
     driver.addIdleEndpoint("e1");
@@ -104,7 +133,9 @@
   test("a VM that serves alone stops others' runs and starts nothing beside them", () => {
     const driver = createSchedulerDriver({ token: 101, isSolo: true });
     driver.addEndpoint("e1");
-    driver.list("e1", { running: [{ task: "other.0.0.0", run: 100_001 }] });
+    driver.list("e1", {
+      running: [{ task: "other.0.0.0", run: 100_001, progress: 0 }],
+    });
 
     driver.submit({ id: "j" });
     driver.advanceTo(20);
--- a/test/scheduler/uncertain_runs_test.ts
+++ b/test/scheduler/uncertain_runs_test.ts
@@ -94,8 +94,47 @@
     assert.deepEqual(driver.stops.map(({ task }) => task), [other.task.name]);
   });
 
+  test("a run that stands still is started again elsewhere once its stop has taken effect", () => {
+    const driver = createSchedulerDriver();
+    driver.advanceTo(10);
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.reply(driver.starts[0], { type: "accepted" });
+    driver.addIdleEndpoint("e2");
+    driver.advanceTo(800);
+    const [{ task, run }] = driver.starts;
+
+    driver.list("e1", {
+      running: [{ task: task.name, run, progress: 0.02 }],
+    });
+    driver.advanceTo(820);
+    assert.deepEqual(driver.stops.map((stop) => stop.task), [task.name]);
+    driver.confirmStop(driver.starts[0]);
+    driver.advanceTo(900);
+
+    assert.equal(driver.starts.length, 2);
+    assert.equal(driver.starts[1].endpointId, "e2");
+  });
+
+  test("a run on a good way is left alone", () => {
+    const driver = createSchedulerDriver();
+    driver.advanceTo(10);
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j" });
+    driver.reply(driver.starts[0], { type: "accepted" });
+    driver.addIdleEndpoint("e2");
+    driver.advanceTo(800);
+    const [{ task, run }] = driver.starts;
+
+    driver.list("e1", { running: [{ task: task.name, run, progress: 0.7 }] });
+    driver.advanceTo(820);
+
+    assert.equal(driver.stops.length, 0);
+  });
+
   test("a rejection for want of room starts the task elsewhere", () => {
     const driver = createSchedulerDriver();
+    driver.advanceTo(10);
     driver.addIdleEndpoint("e1");
     driver.submit({ id: "j" });
     driver.addIdleEndpoint("e2");
