--- a/src/endpoint/create_reply_handler.ts
+++ b/src/endpoint/create_reply_handler.ts
@@ -13,7 +13,8 @@
   let size = 0;
   let current: Dispatcher.DispatchController | undefined;
   const chunks: Buffer[] = [];
-  const timer = setTimeout(expire, task.timeoutMs);
+  // A reply that arrived while this process was busy is read before the time counts as up.
+  const timer = setTimeout(() => setImmediate(expire), task.timeoutMs);
 
   function expire(): void {
     finish({
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -45,7 +45,6 @@
     })
     .with({ type: "unanswered" }, () => {
       task.phase = "unsure";
-      learnFailure(state, endpoint, { nowMs });
       recordEvent(state, "startUnanswered", {
         task: task.name,
         run: task.run,
--- a/src/vm/decide_takeover.ts
+++ b/src/vm/decide_takeover.ts
@@ -1,9 +1,9 @@
 /** A beat older than this means that the scheduler is gone or without the store, in ms; several beats. */
-const STALE_MS = 750;
+const STALE_MS = 450;
 /** The same when its address refuses connections, in ms. */
-const STALE_REFUSED_MS = 350;
+const STALE_REFUSED_MS = 300;
 /** Each further place in the order of succession waits this much longer, in ms. */
-const RANK_MS = 120;
+const RANK_MS = 80;
 
 /**
  * Decides whether a VM that lost the scheduler takes over. A link that is gone
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -7,6 +7,7 @@
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
 import { followSchedulerRow } from "./follow_scheduler_row.ts";
+import type { LinkedVm } from "./linked_vm.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { OpenJobs } from "./open_jobs.ts";
 import { openRemoteLink } from "./open_remote_link.ts";
@@ -43,14 +44,16 @@
     epoch: number;
     token: number;
     /** The VMs known when this one began to serve alone; absent for the scheduler of all. */
-    soloAmong?: { name: string; dataCentre: string }[];
+    soloAmong?: LinkedVm[];
     superseded: (share: number) => void;
-    vms: { name: string; dataCentre: string }[];
+    vms: LinkedVm[];
   }) => SchedulerHost;
   /** Told of the scheduler's configuration version, which may be ahead of ours. */
   heardVersion: (version: number) => void;
 }): {
   findHost(): SchedulerHost | undefined;
+  /** The holder of the role, as far as this VM knows. */
+  findRow(): SchedulerRow | undefined;
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log } = options;
@@ -63,12 +66,18 @@
   /** The incarnation of the process that the link leads to. */
   let linkedTo = "";
   let isLeaving = false;
-  let vms: { name: string; dataCentre: string }[] = [];
+  let isAttaching = false;
+  /** Counts the VMs asked for the holder, so that each gets its turn. */
+  let asked = 0;
+  /** The holder of the row as it is was linked to, or could not be. */
+  let isRowTried = false;
+  let vms: LinkedVm[] = [];
   let lostMs = readMonotonicMs();
   let lostHow: "closed" | "silent" = "closed";
   let isAsked = false;
   let isReviewing = false;
   let raisedMs = 0;
+  let storeOffsetMs = 0;
   let wasLinked = false;
   let isStopped = false;
 
@@ -78,6 +87,9 @@
     if (row && next.revision <= row.revision) return;
     const isSameHolder = row?.value.incarnation === next.value.incarnation;
     row = next;
+    // A new holder gets the same time as the old one before it is doubted.
+    if (!isSameHolder) isRowTried = false;
+    if (!isSameHolder && !link) lostMs = readMonotonicMs();
     log("schedulerKnown", { vm: next.value.vm, epoch: next.value.epoch });
     if (isSameHolder) return;
     if (host && next.value.incarnation !== incarnation) endHost("superseded");
@@ -152,6 +164,29 @@
     }, incarnation);
   }
 
+  /** A peer knows a later holder than the store could tell this VM. */
+  function takeRedirect(value: SchedulerRow): void {
+    if (row && value.epoch <= row.value.epoch) return;
+    const key = ROW_KEYS.scheduler;
+    row = { key, value, revision: 0, updatedAtMs: 0 };
+    isRowTried = false;
+    log("schedulerKnown", { vm: value.vm, epoch: value.epoch, from: "peer" });
+  }
+
+  /** Tries the holder of the row and, when the store does not tell of a later one, another VM that may know it. */
+  async function attach(value: SchedulerRow): Promise<void> {
+    if (isAttaching) return;
+    isAttaching = true;
+    await attachToPeer(value);
+    const others = vms.filter((vm) => vm.name !== name && vm.name !== value.vm);
+    if (!link && watcher.isLost() && others.length > 0) {
+      const { address } = others[asked % others.length];
+      asked += 1;
+      await attachToPeer({ ...value, address });
+    }
+    isAttaching = false;
+  }
+
   async function attachToPeer(value: SchedulerRow): Promise<void> {
     let opened: SchedulerLink | undefined;
     let isDead = false;
@@ -160,10 +195,12 @@
         address: value.address,
         events,
         readReport: options.readReport,
+        redirected: takeRedirect,
         lost: (how) => {
           isDead = true;
           if (link !== opened) return;
           lostHow = how;
+          isRowTried = true;
           dropLink(how);
         },
       });
@@ -178,6 +215,7 @@
       endSolo();
       setLink(next, value.incarnation);
     } catch (thrown) {
+      isRowTried = true;
       const { message } = readError(thrown);
       lostHow = message === "closed" ? "closed" : "silent";
       log("linkNotOpened", { vm: value.vm, epoch: value.epoch, message });
@@ -185,9 +223,10 @@
   }
 
   async function canTakeOver(): Promise<boolean> {
+    const scan = await ports.table.scan(ROW_KEYS.beat, 0);
+    storeOffsetMs = scan.atMs - readMonotonicMs();
     if (isAsked || !row) return true;
     if (row.value.vm === name) return true;
-    const scan = await ports.table.scan(ROW_KEYS.beat, 0);
     const beat = scan.rows[0]?.value as BeatRow | undefined;
     const found = vms.findIndex((vm) => vm.name === name);
     const rank = found >= 0 ? found : vms.length;
@@ -220,10 +259,13 @@
       epoch,
     };
     const key = ROW_KEYS.scheduler;
+    const storeMs = readMonotonicMs() + storeOffsetMs;
     const result = await ports.table.transact([
       row
         ? { type: "replace", key, value, revision: row.revision }
         : { type: "insert", key, value },
+      // Shows with the same write that the new holder lives, so that no other doubts it.
+      { type: "write", key: ROW_KEYS.beat, value: { epoch, storeMs } },
     ]);
     if (result.type === "conflict") {
       await watcher.readNow();
@@ -293,15 +335,16 @@
       return;
     }
     if (isAsked) {
-      await takeOver();
+      if (await canTakeOver()) await takeOver();
       isAsked = false;
       return;
     }
     if (link && !solo && !isSuperseded()) return;
-    const isOther = row && row.value.vm !== name;
-    if (row && isOther) await attachToPeer(row.value);
-    if (link && !solo) return;
-    if (await canTakeOver() && !isStopped) await takeOver();
+    const isOther = row !== undefined && row.value.vm !== name;
+    // Weighed while a link is being tried, which may take long.
+    if (row && isOther) void attach(row.value);
+    if (isOther && (link && !solo || !isRowTried)) return;
+    if (await canTakeOver() && !isStopped && (!link || solo)) await takeOver();
   }
 
   async function run(): Promise<void> {
@@ -327,6 +370,7 @@
 
   return {
     findHost: () => host,
+    findRow: () => row?.value,
     stop: () => {
       isStopped = true;
       clearInterval(soloTimer);
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -7,7 +7,7 @@
 import type { WatchedTable } from "./watched_table.ts";
 
 /** Time between two beats, in ms. */
-const BEAT_MS = 150;
+const BEAT_MS = 100;
 /** A scheduler that could not write a beat for this long asks another VM to take over, in ms. */
 const RESIGN_MS = 2_000;
 
@@ -30,6 +30,9 @@
     if (offsetMs === undefined || revision === undefined) {
       const scan = await table.scan(ROW_KEYS.beat, 0);
       offsetMs = scan.atMs - readMonotonicMs();
+      const known = scan.rows[0]?.value as BeatRow | undefined;
+      // A later holder beats; this one learns of it from the scheduler's row.
+      if (known && known.epoch > epoch) return;
       revision = scan.rows[0]?.revision ?? 0;
     }
     const value: BeatRow = { epoch, storeMs: readMonotonicMs() + offsetMs };
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -6,14 +6,15 @@
 import { LINK_SERVICE } from "./link_service.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerMessage } from "./scheduler_message.ts";
+import type { SchedulerRow } from "./scheduler_row.ts";
 import type { VmMessage } from "./vm_message.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { VmReport } from "./vm_report.ts";
 
 /** How often the scheduler hears from this VM, in ms. */
-const BEAT_MS = 150;
+const BEAT_MS = 100;
 /** A scheduler that was not heard for this long is taken as lost, in ms; several of its beats. */
-const SILENT_MS = 450;
+const SILENT_MS = 350;
 /** Longest wait for the first word of a scheduler, in ms. */
 const OPEN_MS = 400;
 /** Longest wait for the last words of a scheduler that this VM leaves, in ms. */
@@ -31,6 +32,8 @@
   events: LinkEvents;
   readReport: () => VmReport;
   lost: (how: "closed" | "silent") => void;
+  /** The other process is not the scheduler, and knows who is. */
+  redirected: (to: SchedulerRow) => void;
 }): Promise<SchedulerLink> {
   const client = new Service(options.address, credentials.createInsecure(), {
     "grpc.enable_http_proxy": 0,
@@ -97,6 +100,10 @@
           close,
         });
       }
+      if (message.type === "redirect") {
+        options.redirected(message.to);
+        return;
+      }
       if (message.type === "left") hearLeft();
       passOn(message, options.events);
     });
@@ -105,7 +112,10 @@
   });
 }
 
-function passOn(message: SchedulerMessage, events: LinkEvents): void {
+function passOn(
+  message: Exclude<SchedulerMessage, { type: "redirect" }>,
+  events: LinkEvents,
+): void {
   match(message)
     .with({ type: "status" }, ({ status }) => events.status(status))
     .with(
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -6,6 +6,7 @@
 import { LINK_SERVICE } from "./link_service.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerMessage } from "./scheduler_message.ts";
+import type { SchedulerRow } from "./scheduler_row.ts";
 import type { VmMessage } from "./vm_message.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 
@@ -22,14 +23,21 @@
 export function startLinkServer(
   address: string,
   findHost: () => SchedulerHost | undefined,
+  /** Whom this process knows as the scheduler. */
+  findRow: () => SchedulerRow | undefined,
 ): Promise<{ port: number; stop(): Promise<void> }> {
   return startPeerServer(address, LINK_SERVICE, {
-    Attach: (stream: Stream) => handleLink(stream, findHost()),
+    Attach: (stream: Stream) => handleLink(stream, findHost(), findRow()),
   });
 }
 
-function handleLink(stream: Stream, host: SchedulerHost | undefined): void {
+function handleLink(
+  stream: Stream,
+  host: SchedulerHost | undefined,
+  row: SchedulerRow | undefined,
+): void {
   if (!host) {
+    if (row) stream.write({ type: "redirect", to: row });
     stream.end();
     return;
   }
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -15,8 +15,10 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { Attachment } from "./attachment.ts";
+import { isTooSlow } from "../decide/is_too_slow.ts";
 import { createEndpointSessions } from "./create_endpoint_sessions.ts";
 import type { EventLog } from "./event_log.ts";
+import type { LinkedVm } from "./linked_vm.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 import type { VmPorts } from "./vm_ports.ts";
@@ -27,6 +29,10 @@
 const TICK_MS = 20;
 /** Time between two readings of the endpoints' list, in ms; well inside the time a leaving one may still get tasks. */
 const READ_ENDPOINTS_MS = 400;
+/** Least time between two resignations for slowness, in ms: a start-up's load has passed by then. */
+const RESIGN_AGAIN_MS = 1_500;
+/** Delays of VMs that differ by less than this count as equal, in ms. */
+const LAG_STEP_MS = 10;
 /** A VM that was lost for this long is taken as gone for good, and its endpoints come back, in ms. */
 const LOST_VM_MS = 15_000;
 /** How often each VM hears from the scheduler, in ms. */
@@ -46,7 +52,9 @@
   /** Called when endpoints obey a later scheduler; `share` is their part of all that answer. */
   superseded: (share: number) => void;
   /** The VMs known when this process began. */
-  vms: { name: string; dataCentre: string }[];
+  vms: LinkedVm[];
+  /** How late this process's timers run, in ms. */
+  readLag: () => number;
   configurationVersion: () => number;
 }): SchedulerHost {
   const { settings, ports, log, isSolo } = options;
@@ -58,10 +66,14 @@
   });
   const links = new Map<string, { events: LinkEvents; report?: VmReport }>();
   const lostVms = new Map(
-    options.vms.map((vm) => [vm.name, { ...vm, lostMs: readMonotonicMs() }]),
+    options.vms.map(({ name, dataCentre }) => [
+      name,
+      { dataCentre, lostMs: readMonotonicMs() },
+    ]),
   );
   let isStopped = false;
   let storeLostMs = 0;
+  let reviewedMs = readMonotonicMs();
 
   const sessions = createEndpointSessions({
     state,
@@ -149,7 +161,7 @@
         links.delete(vm);
         if (link.report && !link.report.isDraining) {
           const { dataCentre } = link.report;
-          lostVms.set(vm, { name: vm, dataCentre, lostMs: readMonotonicMs() });
+          lostVms.set(vm, { dataCentre, lostMs: readMonotonicMs() });
         }
         log("vmLost", { vm, how, epoch, links: links.size });
         act((nowMs) => loseVm(state, vm, { how, nowMs }));
@@ -164,21 +176,45 @@
       )
       .sort(([, one], [, other]) =>
         Number(other.report?.isStoreReachable) -
-        Number(one.report?.isStoreReachable)
+          Number(one.report?.isStoreReachable) ||
+        Math.round(
+          ((one.report?.lagMs ?? 0) - (other.report?.lagMs ?? 0)) / LAG_STEP_MS,
+        )
       )
       .map(([name]) => name);
   }
 
   /** Successors first; this process itself comes last, as it can't succeed itself. */
-  function listVms(): { name: string; dataCentre: string }[] {
+  function listVms(): LinkedVm[] {
     const others = listSuccessors().map((name) => ({
       name,
       dataCentre: links.get(name)?.report?.dataCentre ?? "",
+      address: links.get(name)?.report?.address ?? "",
     }));
-    return [
-      ...others,
-      { name: settings.name, dataCentre: settings.dataCentre },
-    ];
+    const { name, dataCentre, peerAddress: address } = settings;
+    return [...others, { name, dataCentre, address }];
+  }
+
+  function resign(reason: string): boolean {
+    const name = listSuccessors().find((one) =>
+      reason === "stop" || links.get(one)?.report?.isStoreReachable
+    );
+    const chosen = name === undefined ? undefined : links.get(name);
+    log("schedulerResigned", { epoch, to: name, reason });
+    chosen?.events.resignation(reason);
+    return chosen !== undefined;
+  }
+
+  function reviewLag(): void {
+    const [best] = listSuccessors();
+    const bestLagMs = best === undefined
+      ? undefined
+      : links.get(best)?.report?.lagMs;
+    if (isSolo || bestLagMs === undefined) return;
+    if (!isTooSlow(options.readLag(), bestLagMs)) return;
+    if (readMonotonicMs() - reviewedMs < RESIGN_AGAIN_MS) return;
+    reviewedMs = readMonotonicMs();
+    resign("slow");
   }
 
   function listReturned(): Set<string> {
@@ -202,6 +238,7 @@
 
   function sendBeat(): void {
     const successors = listVms();
+    reviewLag();
     const configurationVersion = options.configurationVersion();
     for (const { events } of links.values()) {
       events.status({ epoch, successors, configurationVersion });
@@ -224,15 +261,7 @@
     beginEpoch,
     attach,
     listSuccessors,
-    resign: (reason) => {
-      const name = listSuccessors().find((one) =>
-        reason === "stop" || links.get(one)?.report?.isStoreReachable
-      );
-      const chosen = name === undefined ? undefined : links.get(name);
-      log("schedulerResigned", { epoch, to: name, reason });
-      chosen?.events.resignation(reason);
-      return chosen !== undefined;
-    },
+    resign,
     stop: () => {
       if (isStopped) return;
       isStopped = true;
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -8,6 +8,7 @@
 import { createOpenJobs } from "./create_open_jobs.ts";
 import type { EventLog } from "./event_log.ts";
 import { followScheduler } from "./follow_scheduler.ts";
+import { measureLag } from "./measure_lag.ts";
 import { keepBeat } from "./keep_beat.ts";
 import type { RunningVm } from "./running_vm.ts";
 import { startLinkServer } from "./start_link_server.ts";
@@ -47,8 +48,10 @@
     dataCentre: settings.dataCentre,
     isDraining,
     isStoreReachable: options.isStoreReachable(),
+    lagMs: lag.read(),
     configurationVersion: options.configurationVersion(),
   });
+  const lag = measureLag();
   const endpoints = keepEndpoints(ports);
   function readShare(
     rows: EndpointRow[],
@@ -59,6 +62,7 @@
   const server = await startLinkServer(
     settings.peerAddress,
     () => follower.findHost(),
+    () => follower.findRow(),
   );
   const follower = followScheduler({
     settings,
@@ -80,6 +84,7 @@
           }
           : ports,
         log,
+        readLag: lag.read,
         configurationVersion: options.configurationVersion,
       }),
   });
@@ -113,6 +118,7 @@
     stop: async () => {
       follower.stop();
       beat.stop();
+      lag.stop();
       endpoints.stop();
       jobs.close();
       await server.stop();
--- a/src/vm/vm_report.ts
+++ b/src/vm/vm_report.ts
@@ -5,5 +5,7 @@
   dataCentre: string;
   isDraining: boolean;
   isStoreReachable: boolean;
+  /** How late its timers run, in ms. */
+  lagMs: number;
   configurationVersion: number;
 };
--- a/stand_ins/platform/memory_platform.ts
+++ b/stand_ins/platform/memory_platform.ts
@@ -47,7 +47,7 @@
   #isMet(operation: TableOperation): boolean {
     const row = this.rows.get(operation.key);
     if (operation.type === "insert") return row === undefined;
-    if (operation.type === "delete") return true;
+    if (operation.type === "delete" || operation.type === "write") return true;
     return row?.revision === operation.revision;
   }
 
--- a/test/decide/succession_test.ts
+++ b/test/decide/succession_test.ts
@@ -24,7 +24,7 @@
   });
 
   test("VMs further down the order wait longer", () => {
-    const seen = { ...SEEN, beatAgeMs: 800 };
+    const seen = { ...SEEN, beatAgeMs: 500 };
     assert.equal(decideTakeover({ ...seen, rank: 0 }), "takeOver");
     assert.equal(decideTakeover({ ...seen, rank: 3 }), "wait");
     assert.equal(decideTakeover({ ...seen, isDraining: true }), "wait");
