--- a/src/decide/compute_rank.ts
+++ b/src/decide/compute_rank.ts
@@ -1,11 +1,10 @@
+import { isLate } from "./is_late.ts";
 import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
 
 /** Further apart than any two arrival times, in ms. */
 const TIER = 1e10;
 /** Priorities below this many come before the next tier. */
 const PRIORITIES = 100;
-/** A job counts as in time only if its run may take this many times longer than expected. */
-const MARGIN = 1.25;
 
 /**
  * Ranks a waiting job; the lowest goes first. Load it answers: more work than
@@ -14,8 +13,7 @@
  * declared priority, then by arrival.
  */
 export function computeRank(job: ScheduledJob, nowMs: number): number {
-  const isLate = nowMs + job.chainMs * MARGIN > job.objectiveMs;
-  const group = (isLate ? 2 : 0) + (job.isBegun ? 0 : 1);
+  const group = (isLate(job, nowMs) ? 2 : 0) + (job.isBegun ? 0 : 1);
   const tier = group * PRIORITIES +
     Math.min(job.order.priority, PRIORITIES - 1);
   return tier * TIER + job.arrivedMs;
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -45,6 +45,7 @@
     })
     .with({ type: "unanswered" }, () => {
       task.phase = "unsure";
+      task.failedOn.push(endpoint.row.id);
       recordEvent(state, "startUnanswered", {
         task: task.name,
         run: task.run,
--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -3,6 +3,11 @@
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
+/** Slowness that a failed or unanswered run of the same task counts for: any other endpoint goes first. */
+const FAILED_COST = 100;
+/** Slowness that a full endpoint is preferred by over an empty one, to keep whole workers free for wide tasks. */
+const FULLNESS_GAIN = 0.1;
+
 /** Chooses the endpoint where a task ends soonest; of equals the one left fullest. */
 export function chooseEndpoint(
   state: SchedulerState,
@@ -38,7 +43,6 @@
   if (used.cpu + room.cpu > row.room.cpu) return false;
   if (used.memoryMb + room.memoryMb > row.room.memoryMb) return false;
   if (used.gpus + room.gpus > row.room.gpus) return false;
-  if (task.failedOn.includes(row.id)) return false;
   return isAllowed(endpoint, task);
 }
 
@@ -63,6 +67,8 @@
   const { rack } = task.job.order.steps[task.step];
   const isRemote = rack !== undefined && !endpoint.row.labels.includes(rack);
   const factor = isRemote ? state.limits.remoteFactor : 1;
+  const failures = task.failedOn.filter((id) => id === endpoint.row.id).length;
   const share = endpoint.used.cpu / endpoint.row.room.cpu;
-  return endpoint.slowness * factor - share * 0.1;
+  return endpoint.slowness * factor + failures * FAILED_COST -
+    share * FULLNESS_GAIN;
 }
--- a/src/scheduler/learn_failure.ts
+++ b/src/scheduler/learn_failure.ts
@@ -19,7 +19,7 @@
   endpoint: EndpointRecord,
   run: { task?: ScheduledTask; nowMs: number },
 ): void {
-  if (run.task && run.task.failedOn.length > 0) return;
+  if (run.task && run.task.failures > 0) return;
   endpoint.strikes += 1;
   if (endpoint.strikes < STRIKES_TO_REST) return;
   const doublings = endpoint.strikes - STRIKES_TO_REST;
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -1,5 +1,9 @@
 import { computeRank } from "../decide/compute_rank.ts";
+import { canStartLate } from "../decide/can_start_late.ts";
+import { isLate } from "../decide/is_late.ts";
 import { addRun } from "./add_run.ts";
+import type { ServiceRoom } from "./service_room.ts";
+import { computeRoom } from "./compute_room.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
@@ -18,23 +22,47 @@
   jobs.sort((one, other) =>
     (ranks.get(one) as number) - (ranks.get(other) as number)
   );
+  let room = computeRoom(state);
   for (const job of jobs) {
     // Without a VM that waits for it a job may live on elsewhere, so nothing new of it starts here.
-    if (job.vms.size > 0) placeJob(state, job, nowMs);
+    if (job.vms.size === 0) continue;
+    if (!job.isBegun && isLate(job, nowMs)) {
+      if (!canStartLate(findRoom(room, job))) continue;
+    }
+    if (!hasRoom(job, findRoom(room, job))) continue;
+    if (placeJob(state, job, nowMs) > 0) room = computeRoom(state);
   }
 }
 
+const NO_ROOM = { free: 0, whole: 0, largest: 0 };
+
+function findRoom(
+  room: Map<string, ServiceRoom>,
+  job: ScheduledJob,
+): ServiceRoom {
+  return room.get(job.order.service) ?? NO_ROOM;
+}
+
+/** Whether any step of the job could fit the largest free room, which saves looking at each endpoint. */
+function hasRoom(job: ScheduledJob, room: ServiceRoom): boolean {
+  return job.order.steps.some((step) => step.room.cpu <= room.largest);
+}
+
+/** Starts what it can of a job; tells how many tasks that are. */
 function placeJob(
   state: SchedulerState,
   job: ScheduledJob,
   nowMs: number,
-): void {
+): number {
+  let started = 0;
   for (const task of job.tasks) {
     if (task.phase !== "waiting" || task.unaccountedUntilMs > 0) continue;
     const endpoint = chooseEndpoint(state, task, nowMs);
-    if (!endpoint) return;
+    if (!endpoint) break;
     startTask(state, endpoint, { task, nowMs });
+    started += 1;
   }
+  return started;
 }
 
 function startTask(
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -19,7 +19,7 @@
   /** When a confirmed stop has surely taken effect, in ms; 0 while none is confirmed. */
   clearMs: number;
   failures: number;
-  /** Endpoints where a run of the task failed. */
+  /** Endpoints where a run of the task failed or a start was not answered. */
   failedOn: string[];
   /** Another scheduler may have started it at an endpoint not heard since; until then it waits, in ms. 0 when accounted for. */
   unaccountedUntilMs: number;
--- /dev/null
+++ b/src/scheduler/service_room.ts
@@ -0,0 +1,7 @@
+/** Processor room of a service's usable endpoints, in thousandths of a core. */
+export type ServiceRoom = {
+  free: number;
+  whole: number;
+  /** The largest free room of one endpoint. */
+  largest: number;
+};
--- a/src/vm/link_service.ts
+++ b/src/vm/link_service.ts
@@ -2,16 +2,16 @@
 import type { SchedulerMessage } from "./scheduler_message.ts";
 import type { VmMessage } from "./vm_message.ts";
 
-function encodeMessage(message: unknown): Buffer {
-  return Buffer.from(JSON.stringify(message));
+function encodeMessage(messages: unknown[]): Buffer {
+  return Buffer.from(JSON.stringify(messages));
 }
 
-function decodeMessage<Message>(bytes: Buffer): Message {
-  return JSON.parse(bytes.toString("utf8")) as Message;
+function decodeMessage<Messages>(bytes: Buffer): Messages {
+  return JSON.parse(bytes.toString("utf8")) as Messages;
 }
 
 /**
- * The gRPC service of a scheduler. Its messages are JSON, which is faster to
+ * The gRPC service of a scheduler. Its messages are lists in JSON, which is faster to
  * load and to parse here than reflected protobuf.
  */
 export const LINK_SERVICE = {
@@ -19,10 +19,11 @@
     path: "/chivegrade.Scheduler/Attach",
     requestStream: true,
     responseStream: true,
-    requestSerialize: (message: VmMessage) => encodeMessage(message),
-    requestDeserialize: (bytes: Buffer) => decodeMessage<VmMessage>(bytes),
-    responseSerialize: (message: SchedulerMessage) => encodeMessage(message),
+    requestSerialize: (messages: VmMessage[]) => encodeMessage(messages),
+    requestDeserialize: (bytes: Buffer) => decodeMessage<VmMessage[]>(bytes),
+    responseSerialize: (messages: SchedulerMessage[]) =>
+      encodeMessage(messages),
     responseDeserialize: (bytes: Buffer) =>
-      decodeMessage<SchedulerMessage>(bytes),
+      decodeMessage<SchedulerMessage[]>(bytes),
   },
 } satisfies ServiceDefinition;
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -4,6 +4,7 @@
 import { waitMs } from "../utils/wait_ms.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { LINK_SERVICE } from "./link_service.ts";
+import { createBatch } from "./create_batch.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerMessage } from "./scheduler_message.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
@@ -22,7 +23,7 @@
 /** How often the link is looked after, in ms. */
 const LOOK_MS = 50;
 
-type Stream = ClientDuplexStream<VmMessage, SchedulerMessage>;
+type Stream = ClientDuplexStream<VmMessage[], SchedulerMessage[]>;
 
 const Service = makeClientConstructor(LINK_SERVICE, "Scheduler");
 
@@ -57,9 +58,9 @@
     client.close();
   }
 
-  function send(message: VmMessage): void {
-    stream.write(message);
-  }
+  const send = createBatch<VmMessage>((messages) => {
+    if (!isClosed) stream.write(messages);
+  });
 
   function sendReport(): void {
     send({ type: "report", report: options.readReport() });
@@ -82,8 +83,7 @@
       if (readMonotonicMs() - heardMs > limitMs) lose("silent");
     }, LOOK_MS);
 
-    stream.on("data", (message: SchedulerMessage) => {
-      heardMs = readMonotonicMs();
+    function take(message: SchedulerMessage): void {
       if (isClosed) return;
       if (message.type === "status" && !isOpen) {
         isOpen = true;
@@ -106,6 +106,11 @@
       }
       if (message.type === "left") hearLeft();
       passOn(message, options.events);
+    }
+
+    stream.on("data", (messages: SchedulerMessage[]) => {
+      heardMs = readMonotonicMs();
+      for (const message of messages) take(message);
     });
     stream.on("error", () => lose("closed"));
     stream.on("end", () => lose("closed"));
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -4,6 +4,7 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import type { Attachment } from "./attachment.ts";
 import { LINK_SERVICE } from "./link_service.ts";
+import { createBatch } from "./create_batch.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerMessage } from "./scheduler_message.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
@@ -17,7 +18,7 @@
 /** A link whose reader is this far behind is cut rather than buffered without end, in messages. */
 const MOST_UNREAD = 5_000;
 
-type Stream = ServerDuplexStream<VmMessage, SchedulerMessage>;
+type Stream = ServerDuplexStream<VmMessage[], SchedulerMessage[]>;
 
 /** Serves links of other VMs while this process is the scheduler; turns them away otherwise. */
 export function startLinkServer(
@@ -37,7 +38,7 @@
   row: SchedulerRow | undefined,
 ): void {
   if (!host) {
-    if (row) stream.write({ type: "redirect", to: row });
+    if (row) stream.write([{ type: "redirect", to: row }]);
     stream.end();
     return;
   }
@@ -57,8 +58,7 @@
     if (how === "silent") stream.destroy();
   }
 
-  stream.on("data", (message: VmMessage) => {
-    heardMs = readMonotonicMs();
+  function take(message: VmMessage): void {
     match(message)
       .with({ type: "report" }, ({ report }) => {
         attachment ??= current.attach(report.name, createEvents(stream));
@@ -71,6 +71,11 @@
       .with({ type: "abandon" }, ({ jobId }) => attachment?.abandon(jobId))
       .with({ type: "leave" }, () => attachment?.leave())
       .exhaustive();
+  }
+
+  stream.on("data", (messages: VmMessage[]) => {
+    heardMs = readMonotonicMs();
+    for (const message of messages) take(message);
   });
   stream.on("end", () => finish("closed"));
   stream.on("error", () => finish("closed"));
@@ -78,7 +83,9 @@
 }
 
 function createEvents(stream: Stream): LinkEvents {
-  const send = (message: SchedulerMessage) => void stream.write(message);
+  const send = createBatch<SchedulerMessage>((messages) =>
+    void stream.write(messages)
+  );
   return {
     placed: (task, endpointId) => send({ type: "placed", task, endpointId }),
     done: (task) => send({ type: "done", task }),
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -15,7 +15,6 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { Attachment } from "./attachment.ts";
-import { isTooSlow } from "../decide/is_too_slow.ts";
 import { createEndpointSessions } from "./create_endpoint_sessions.ts";
 import type { EventLog } from "./event_log.ts";
 import type { LinkedVm } from "./linked_vm.ts";
@@ -29,10 +28,6 @@
 const TICK_MS = 20;
 /** Time between two readings of the endpoints' list, in ms; well inside the time a leaving one may still get tasks. */
 const READ_ENDPOINTS_MS = 400;
-/** Least time between two resignations for slowness, in ms: a start-up's load has passed by then. */
-const RESIGN_AGAIN_MS = 1_500;
-/** Delays of VMs that differ by less than this count as equal, in ms. */
-const LAG_STEP_MS = 10;
 /** A VM that was lost for this long is taken as gone for good, and its endpoints come back, in ms. */
 const LOST_VM_MS = 15_000;
 /** How often each VM hears from the scheduler, in ms. */
@@ -53,8 +48,6 @@
   superseded: (share: number) => void;
   /** The VMs known when this process began. */
   vms: LinkedVm[];
-  /** How late this process's timers run, in ms. */
-  readLag: () => number;
   configurationVersion: () => number;
 }): SchedulerHost {
   const { settings, ports, log, isSolo } = options;
@@ -73,7 +66,6 @@
   );
   let isStopped = false;
   let storeLostMs = 0;
-  let reviewedMs = readMonotonicMs();
 
   const sessions = createEndpointSessions({
     state,
@@ -176,10 +168,7 @@
       )
       .sort(([, one], [, other]) =>
         Number(other.report?.isStoreReachable) -
-          Number(one.report?.isStoreReachable) ||
-        Math.round(
-          ((one.report?.lagMs ?? 0) - (other.report?.lagMs ?? 0)) / LAG_STEP_MS,
-        )
+        Number(one.report?.isStoreReachable)
       )
       .map(([name]) => name);
   }
@@ -205,18 +194,6 @@
     return chosen !== undefined;
   }
 
-  function reviewLag(): void {
-    const [best] = listSuccessors();
-    const bestLagMs = best === undefined
-      ? undefined
-      : links.get(best)?.report?.lagMs;
-    if (isSolo || bestLagMs === undefined) return;
-    if (!isTooSlow(options.readLag(), bestLagMs)) return;
-    if (readMonotonicMs() - reviewedMs < RESIGN_AGAIN_MS) return;
-    reviewedMs = readMonotonicMs();
-    resign("slow");
-  }
-
   function listReturned(): Set<string> {
     const returned = new Set<string>();
     for (const { phase, row } of state.endpoints.values()) {
@@ -238,7 +215,6 @@
 
   function sendBeat(): void {
     const successors = listVms();
-    reviewLag();
     const configurationVersion = options.configurationVersion();
     for (const { events } of links.values()) {
       events.status({ epoch, successors, configurationVersion });
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -8,7 +8,6 @@
 import { createOpenJobs } from "./create_open_jobs.ts";
 import type { EventLog } from "./event_log.ts";
 import { followScheduler } from "./follow_scheduler.ts";
-import { measureLag } from "./measure_lag.ts";
 import { keepBeat } from "./keep_beat.ts";
 import type { RunningVm } from "./running_vm.ts";
 import { startLinkServer } from "./start_link_server.ts";
@@ -48,10 +47,8 @@
     dataCentre: settings.dataCentre,
     isDraining,
     isStoreReachable: options.isStoreReachable(),
-    lagMs: lag.read(),
     configurationVersion: options.configurationVersion(),
   });
-  const lag = measureLag();
   const endpoints = keepEndpoints(ports);
   function readShare(
     rows: EndpointRow[],
@@ -84,7 +81,6 @@
           }
           : ports,
         log,
-        readLag: lag.read,
         configurationVersion: options.configurationVersion,
       }),
   });
@@ -118,7 +114,6 @@
     stop: async () => {
       follower.stop();
       beat.stop();
-      lag.stop();
       endpoints.stop();
       jobs.close();
       await server.stop();
--- a/src/vm/vm_report.ts
+++ b/src/vm/vm_report.ts
@@ -5,7 +5,5 @@
   dataCentre: string;
   isDraining: boolean;
   isStoreReachable: boolean;
-  /** How late its timers run, in ms. */
-  lagMs: number;
   configurationVersion: number;
 };
