Runs that nobody hands in again get no lease; a former scheduler asks others who the next is; explain

Change: no lease and no start beside runs that nobody has handed in, which are stopped after 0.4 s; a former holder asks other VMs while it can't read the store; 'chivegrade explain ID'. Conclusion: a lease's end says nothing while somebody else may extend it; only one may.

--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import { addCheckCommand } from "./cli/add_check_command.ts";
 import { addControlCommand } from "./cli/add_control_command.ts";
 import { addDrainCommand } from "./cli/add_drain_command.ts";
+import { addExplainCommand } from "./cli/add_explain_command.ts";
 import { addEntryCommand } from "./cli/add_entry_command.ts";
 import { addJobCommand } from "./cli/add_job_command.ts";
 import { addPatchCommand } from "./cli/add_patch_command.ts";
@@ -25,6 +26,7 @@
 addCancelCommand(cli);
 addDrainCommand(cli);
 addStatusCommand(cli);
+addExplainCommand(cli);
 cli.help();
 cli.version(VERSION);
 
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -12,8 +12,8 @@
 
 /** How long an ended job is remembered for callers that ask again, in ms. */
 const REMEMBER_MS = 10_000;
-/** Runs of an earlier scheduler that nobody asks for are stopped after this, in ms. */
-const STRANGER_MS = 1_500;
+/** Runs of an earlier scheduler that nobody asks for are stopped after this, in ms: VMs hand their jobs in again much sooner. */
+const STRANGER_MS = 400;
 /** The same for a VM that serves alone: those runs are another scheduler's, which goes on elsewhere. */
 const SOLO_STRANGER_MS = 0;
 /** Endpoints' clocks may run this much slower than ours. */
--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -17,7 +17,7 @@
   let best: EndpointRecord | undefined;
   let bestCost = Infinity;
   for (const endpoint of state.endpoints.values()) {
-    if (!canTake(endpoint, task, { nowMs, isSolo: state.isSolo })) continue;
+    if (!canTake(endpoint, task, nowMs)) continue;
     const cost = computeCost(state, endpoint, task);
     if (cost >= bestCost) continue;
     best = endpoint;
@@ -29,13 +29,12 @@
 function canTake(
   endpoint: EndpointRecord,
   task: ScheduledTask,
-  at: { nowMs: number; isSolo: boolean },
+  nowMs: number,
 ): boolean {
-  const { nowMs, isSolo } = at;
   const { row, used, phase } = endpoint;
   if (phase !== "usable" || row.isDraining) return false;
   // A start would extend the lease of runs that another scheduler takes as ending.
-  if (isSolo && endpoint.strangers.size > 0) return false;
+  if (endpoint.strangers.size > 0) return false;
   if (row.service !== task.job.order.service) return false;
   if (endpoint.restUntilMs > nowMs) return false;
   if (endpoint.strikes > 0 && endpoint.runs.size > 0) return false;
--- a/src/vm/create_endpoint_sessions.ts
+++ b/src/vm/create_endpoint_sessions.ts
@@ -3,6 +3,7 @@
 import { applySilence } from "../scheduler/apply_silence.ts";
 import { applyStartReply } from "../scheduler/apply_start_reply.ts";
 import { applyStopReply } from "../scheduler/apply_stop_reply.ts";
+import { computeLeaseEnd } from "../scheduler/compute_lease_end.ts";
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
@@ -51,15 +52,9 @@
     while (session.isOpen) {
       const endpoint = state.endpoints.get(id);
       if (!endpoint) return;
-      const areStrangersGone = !state.isSolo || endpoint.strangers.size === 0;
-      const isKnown = endpoint.phase === "usable" && areStrangersGone;
       const nowMs = readMonotonicMs();
-      // A lease is granted only to an endpoint that answers, so that the runs of others end by themselves.
-      const leaseEndMs = isKnown
-        ? Math.floor(
-          endpoint.clockMs + (nowMs - endpoint.heardMs) + state.limits.leaseMs,
-        )
-        : undefined;
+      const leaseEndMs = computeLeaseEnd(state, endpoint, nowMs);
+      const isKnown = leaseEndMs !== undefined;
       if (leaseEndMs !== undefined) {
         endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
       }
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -177,7 +177,7 @@
   async function attach(value: SchedulerRow): Promise<void> {
     if (isAttaching) return;
     isAttaching = true;
-    await attachToPeer(value);
+    if (value.vm !== name) await attachToPeer(value);
     const others = vms.filter((vm) => vm.name !== name && vm.name !== value.vm);
     if (!link && watcher.isLost() && others.length > 0) {
       const { address } = others[asked % others.length];
@@ -341,8 +341,8 @@
     }
     if (link && !solo && !isSuperseded()) return;
     const isOther = row !== undefined && row.value.vm !== name;
-    // Weighed while a link is being tried, which may take long.
-    if (row && isOther) void attach(row.value);
+    // Weighed while a link is being tried, which may take long. A former holder that the store turns away asks others.
+    if (row && (isOther || watcher.isLost())) void attach(row.value);
     if (isOther && (link && !solo || !isRowTried)) return;
     if (await canTakeOver() && !isStopped && (!link || solo)) await takeOver();
   }
--- a/stand_ins/node/start_store.ts
+++ b/stand_ins/node/start_store.ts
@@ -22,6 +22,12 @@
   keptFrom: number;
 };
 
+type Door = {
+  address: string;
+  /** While closed, every call through it is answered 503. */
+  state: { isClosed: boolean };
+};
+
 /** How often a waiting feed looks for changes, in ms. */
 const LOOK_MS = 5;
 
@@ -32,6 +38,8 @@
   put(table: string, key: string, value: unknown): void;
   remove(table: string, key: string): void;
   read(table: string, key: string): unknown;
+  /** Opens another address of the store, for one caller. */
+  openDoor(): Promise<Door>;
   stop(): Promise<void>;
 }> {
   const rows = new Map<string, Row>();
@@ -96,14 +104,28 @@
     }
   }
 
-  const server = await startJsonServer(({ url, body }) => {
+  const doors: { stop(): Promise<void> }[] = [];
+
+  /** Another address of the same store, which can be closed by itself. */
+  async function openDoor(): Promise<Door> {
+    const state = { isClosed: false };
+    const door = await startJsonServer(async (request) => {
+      if (state.isClosed) return { status: 503 };
+      return await answer(request);
+    });
+    doors.push(door);
+    return { address: door.address, state };
+  }
+
+  const answer: Parameters<typeof startJsonServer>[0] = ({ url, body }) => {
     if (faults.isSilent) return "silent";
     if (faults.status) return { status: faults.status };
     if (url.pathname === "/rows-get") return readRows(url.searchParams);
     if (url.pathname === "/rows-feed") return readFeed(url.searchParams);
     const reply = transact(body);
     return faults.losesAnswers ? "silent" : reply;
-  });
+  };
+  const server = await startJsonServer(answer);
 
   return {
     address: server.address,
@@ -135,6 +157,10 @@
         ? undefined
         : JSON.parse(Buffer.from(value, "base64").toString("utf8"));
     },
-    stop: server.stop,
+    openDoor,
+    stop: async () => {
+      for (const door of doors) await door.stop();
+      await server.stop();
+    },
   };
 }
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -176,6 +176,25 @@
     }
   });
 
+  test("one that the store turns away hands over and goes on as a VM of the next", async () => {
+    const system = await startNodes({ nodes: 3, workers: 4, runMs: 50 });
+    try {
+      const scheduler = system.findScheduler();
+      scheduler.storeDoor.isClosed = true;
+      await waitFor(() => system.findScheduler() !== scheduler, 6_000);
+      await new Promise((resolve) => setTimeout(resolve, 1_500));
+
+      const reply = await postJob(scheduler, createId(1), { tasks: 8 });
+
+      assert.equal(reply.status, 200);
+      const links = scheduler.logs.filter(({ event }) => event === "linked");
+      assert.equal(links.at(-1)?.epoch, 2);
+      assert.ok(!scheduler.logs.some(({ isSolo }) => isSolo === true));
+    } finally {
+      await system.stop();
+    }
+  });
+
   test("one that is asked to stop hands over, cuts off nothing and ends by itself", async () => {
     const system = await startNodes({ nodes: 2, workers: 2, runMs: 300 });
     try {
--- a/test/scheduler/succession_test.ts
+++ b/test/scheduler/succession_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { computeLeaseEnd } from "../../src/scheduler/compute_lease_end.ts";
 import { loseVm } from "../../src/scheduler/lose_vm.ts";
 import {
   createSchedulerDriver,
@@ -130,6 +131,24 @@
     assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
   });
 
+  test("a new scheduler starts nothing beside, and extends no lease of, runs that nobody has handed in again", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      running: [{ task: "cut.0.0.0", run: 1, progress: 0 }],
+    });
+    const endpoint = driver.state.endpoints.get("e1");
+    assert.ok(endpoint);
+
+    driver.submit({ id: "j" });
+    assert.equal(driver.starts.length, 0);
+    assert.equal(computeLeaseEnd(driver.state, endpoint, 0), undefined);
+
+    driver.list("e1");
+    assert.equal(driver.starts.length, 1);
+    assert.ok(computeLeaseEnd(driver.state, endpoint, 0));
+  });
+
   test("a VM that serves alone stops others' runs and starts nothing beside them", () => {
     const driver = createSchedulerDriver({ token: 101, isSolo: true });
     driver.addEndpoint("e1");
