Endpoints that left the list unheard are reckoned with when jobs are handed in again

Ruled out: solo tokens (both runs began under schedulers' tokens); late orders. Change: an endpoint that was never heard and left the list counts as unheard for 15 s, so such tasks wait, 2.5 s at most. The stand-in's closed door now turns away waiting calls too: with that, the test of the former scheduler fails on the old code.

--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -15,6 +15,7 @@
     waiting: new Set(),
     endpoints: new Map(),
     earlierDone: new Map(),
+    missing: new Map(),
     routes: new Map(),
     effects: [],
   };
--- a/src/scheduler/review_unaccounted.ts
+++ b/src/scheduler/review_unaccounted.ts
@@ -1,8 +1,15 @@
 import type { SchedulerState } from "./scheduler_state.ts";
 
+/** An endpoint that was never heard and left the list is reckoned with for this long, in ms: longer than cuts usually last. */
+const MISSING_MS = 15_000;
+
 /** Frees tasks for placing once the endpoints that might run them have told what they run. */
 export function reviewUnaccounted(state: SchedulerState, nowMs: number): void {
+  for (const [id, missedMs] of state.missing) {
+    if (nowMs - missedMs > MISSING_MS) state.missing.delete(id);
+  }
   const areAllListed = !state.isSolo && state.endpoints.size > 0 &&
+    state.missing.size === 0 &&
     [...state.endpoints.values()].every(({ phase }) => phase === "usable");
   for (const job of state.waiting) {
     for (const task of job.tasks) {
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -18,6 +18,8 @@
   endpoints: Map<string, EndpointRecord>;
   /** Tasks that were done under an earlier scheduler, with the time of the news, in ms. */
   earlierDone: Map<string, number>;
+  /** Endpoints that left the list without having been heard, with the time, in ms: others may reach them still. */
+  missing: Map<string, number>;
   /** Learnt run time relative to the callers' estimates, by route. */
   routes: Map<string, RouteKnowledge>;
   /** Collected for the caller of each decision, which carries them out. */
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -21,6 +21,7 @@
     endpoint.row = { ...endpoint.row, isDraining: true };
     if (endpoint.runs.size > 0) continue;
     state.endpoints.delete(id);
+    if (endpoint.phase !== "usable") state.missing.set(id, read.nowMs);
     recordEvent(state, "endpointGone", { endpoint: id });
   }
   placeTasks(state, read.nowMs);
@@ -30,6 +31,7 @@
   const known = state.endpoints.get(row.id);
   if (!known) {
     state.endpoints.set(row.id, createRecord(state, row));
+    state.missing.delete(row.id);
     recordEvent(state, "endpointAdded", {
       endpoint: row.id,
       address: row.address,
--- a/stand_ins/node/start_store.ts
+++ b/stand_ins/node/start_store.ts
@@ -111,7 +111,8 @@
     const state = { isClosed: false };
     const door = await startJsonServer(async (request) => {
       if (state.isClosed) return { status: 503 };
-      return await answer(request);
+      const reply = await answer(request);
+      return state.isClosed ? { status: 503 } : reply;
     });
     doors.push(door);
     return { address: door.address, state };
--- a/test/scheduler/succession_test.ts
+++ b/test/scheduler/succession_test.ts
@@ -83,6 +83,20 @@
     assert.equal(driver.starts.length, 1);
   });
 
+  test("a task waits while an endpoint that left the list was never heard", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.addEndpoint("cut-off");
+    driver.dropRow("cut-off");
+
+    driver.submit({ id: "j" }, RESUBMITTED);
+    driver.advanceTo(1_000);
+    assert.equal(driver.starts.length, 0);
+
+    driver.advanceTo(2_600);
+    assert.equal(driver.starts.length, 1);
+  });
+
   test("tasks that are known as done are not started again", () => {
     const driver = createSchedulerDriver({ token: 200 });
     driver.addIdleEndpoint("e1");
