A former scheduler that the store turns away finds the next through any VM it knew

Logs: the former scheduler learnt that it was superseded only after its VMs had left; its own beat had by then shrunk the list of VMs to itself, so it had nobody to ask, began to serve alone, found every endpoint under the later token and let the job wait until it was given up. A second way to the same end showed with endpoints that refuse late: no endpoint said anything, and the former scheduler stayed one for ever, with no VM.

Ruled out: the port choice of the fixture (all nodes served), the takeover itself (the next scheduler was there within 40 ms).

Change: VMs once heard of stay known as peers to ask. A VM that leaves is taken as proof of a later scheduler, as VMs leave for nothing else. A VM that serves alone and finds every endpoint under a later scheduler refuses at once.

Two tests, failing first.

--- a/src/scheduler/find_refusal.ts
+++ b/src/scheduler/find_refusal.ts
@@ -16,6 +16,7 @@
 ): Refusal | undefined {
   const { order } = job;
   if (nowMs + job.chainMs * 0.5 > job.uselessMs) return refuse("outOfTime");
+  if (isCutOff(state)) return refuse("noEndpoints");
   const isListed = nowMs - state.beganMs > 1_000 || state.endpoints.size > 0;
   if (!isListed) return undefined;
   const fits = order.steps.every((step) =>
@@ -29,6 +30,12 @@
   return { type: "refused", reason, retryAfterMs: RETRY_AFTER_MS };
 }
 
+/** Whether a VM that serves alone has found that every endpoint obeys a later scheduler. */
+function isCutOff(state: SchedulerState): boolean {
+  if (!state.isSolo || state.endpoints.size === 0) return false;
+  return [...state.endpoints.values()].every(({ phase }) => phase === "taken");
+}
+
 function canEverFit(
   state: SchedulerState,
   service: string,
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -72,6 +72,8 @@
   /** The holder of the row as it is was linked to, or could not be. */
   let isRowTried = false;
   let vms: LinkedVm[] = [];
+  /** Every VM heard of; it stays when it leaves this one's scheduler, as it then knows the next. */
+  const peers = new Map<string, LinkedVm>();
   let lostMs = readMonotonicMs();
   let lostHow: "closed" | "silent" = "closed";
   let isAsked = false;
@@ -125,6 +127,7 @@
     ...jobs.events,
     status: (status) => {
       vms = status.successors;
+      for (const vm of vms) peers.set(vm.name, vm);
       if (link) linkedEpoch = status.epoch;
       options.heardVersion(status.configurationVersion);
     },
@@ -178,7 +181,8 @@
     if (isAttaching) return;
     isAttaching = true;
     if (value.vm !== name) await attachToPeer(value);
-    const others = vms.filter((vm) => vm.name !== name && vm.name !== value.vm);
+    const others = [...peers.values()]
+      .filter((vm) => vm.name !== name && vm.name !== value.vm);
     if (!link && watcher.isLost() && others.length > 0) {
       const { address } = others[asked % others.length];
       asked += 1;
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -44,7 +44,7 @@
   settings: VmSettings;
   ports: VmPorts;
   log: EventLog;
-  /** Called when endpoints obey a later scheduler; `share` is their part of all that answer. */
+  /** Called when endpoints or VMs obey a later scheduler; `share` is their part of all that answer. */
   superseded: (share: number) => void;
   /** The VMs known when this process began. */
   vms: LinkedVm[];
@@ -147,6 +147,8 @@
         log("vmLeft", { vm, epoch, links: links.size });
         act((nowMs) => loseVm(state, vm, { how: "silent", nowMs }));
         events.left();
+        // VMs leave only for a later scheduler.
+        if (vm !== settings.name) options.superseded(1);
       },
       lost: (how) => {
         if (!isCurrent()) return;
--- a/stand_ins/node/start_worker.ts
+++ b/stand_ins/node/start_worker.ts
@@ -1,3 +1,4 @@
+import { waitMs } from "../../src/utils/wait_ms.ts";
 import { startJsonServer } from "./start_json_server.ts";
 
 type Run = { run: number; timer: ReturnType<typeof setTimeout> };
@@ -7,6 +8,8 @@
   isSilent: boolean;
   /** Starts are not answered and carried out after this, in ms. */
   lateStartMs?: number;
+  /** Orders under an earlier token are refused only after this, in ms. */
+  lateRefusalMs?: number;
   /** Every task fails. */
   failsAll: boolean;
 };
@@ -119,14 +122,17 @@
     return { clockMs: clockMs(), born: bornMs };
   }
 
-  const server = await startJsonServer(({ url, body, headers }) => {
+  const server = await startJsonServer(async ({ url, body, headers }) => {
     if (faults.isSilent) return "silent";
     if (headers.get("chivegrade-expect-instance") !== options.id) {
       return { status: 421 };
     }
     const fields = body as Record<string, unknown>;
     const given = Number(fields.fenceToken ?? 0);
-    if (given < token) return refuse("fence");
+    if (given < token) {
+      await waitMs(faults.lateRefusalMs ?? 0);
+      return refuse("fence");
+    }
     token = given;
     if (url.pathname === "/run-stop") return stopRun(fields);
     if (url.pathname === "/hold") return listRuns(fields);
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -195,6 +195,28 @@
     }
   });
 
+  test("one that learns late of the next, when its VMs have left, still finds it", async () => {
+    const system = await startNodes({ nodes: 3, workers: 4, runMs: 50 });
+    try {
+      const scheduler = system.findScheduler();
+      for (const { faults } of system.workers) faults.lateRefusalMs = 600;
+      scheduler.storeDoor.isClosed = true;
+      await waitFor(() => system.findScheduler() !== scheduler, 6_000);
+      const isLinked = () =>
+        scheduler.logs.some(({ event, epoch }) =>
+          event === "linked" && epoch === 2
+        );
+      await waitFor(isLinked, 6_000);
+
+      const reply = await postJob(scheduler, createId(1), { tasks: 8 });
+
+      assert.equal(reply.status, 200);
+      assert.ok(!scheduler.logs.some(({ isSolo }) => isSolo === true));
+    } finally {
+      await system.stop();
+    }
+  });
+
   test("one that is asked to stop hands over, cuts off nothing and ends by itself", async () => {
     const system = await startNodes({ nodes: 2, workers: 2, runMs: 300 });
     try {
--- a/test/scheduler/succession_test.ts
+++ b/test/scheduler/succession_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { computeLeaseEnd } from "../../src/scheduler/compute_lease_end.ts";
+import { loseEndpoint } from "../../src/scheduler/lose_endpoint.ts";
 import { loseVm } from "../../src/scheduler/lose_vm.ts";
 import {
   createSchedulerDriver,
@@ -178,4 +179,14 @@
     driver.list("e1");
     assert.equal(driver.starts.length, 1);
   });
+
+  test("a VM that serves alone refuses at once when every endpoint obeys a later scheduler", () => {
+    const driver = createSchedulerDriver({ token: 101, isSolo: true });
+    driver.addEndpoint("e1");
+    loseEndpoint(driver.state, "e1");
+
+    driver.submit({ id: "j" });
+
+    assert.equal(driver.outcomes.get("j")?.type, "refused");
+  });
 });
