--- /dev/null
+++ b/src/kept/decode_flags.ts
@@ -0,0 +1,8 @@
+/** Decodes flags that are one bit each, base64. */
+export function decodeFlags(text: string, count: number): boolean[] {
+  const bytes = Buffer.from(text, "base64");
+  return Array.from(
+    { length: count },
+    (_, index) => ((bytes[index >> 3] ?? 0) & (1 << (index & 7))) !== 0,
+  );
+}
--- /dev/null
+++ b/src/kept/encode_end.ts
@@ -0,0 +1,23 @@
+import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
+import type { TableOperation } from "../store/table_operation.ts";
+import type { KeptEndRow } from "./kept_end_row.ts";
+import { KEPT_KEYS } from "./kept_keys.ts";
+
+/** Encodes the writes that store a job's end and remove it from the open ones. */
+export function encodeEnd(job: ScheduledJob): TableOperation[] {
+  const { id } = job.order;
+  const value: KeptEndRow = { state: readState(job), endedAtMs: Date.now() };
+  return [
+    { type: "insert", key: KEPT_KEYS.formatEnd(id), value },
+    { type: "delete", key: KEPT_KEYS.formatJob(id) },
+    { type: "delete", key: KEPT_KEYS.formatProgress(id) },
+    { type: "delete", key: KEPT_KEYS.formatCancel(id) },
+  ];
+}
+
+function readState({ outcome }: ScheduledJob): KeptEndRow["state"] {
+  if (outcome?.type === "completed") return "completed";
+  const isCancelled = outcome?.type === "failed" &&
+    outcome.reason === "cancelled";
+  return isCancelled ? "cancelled" : "failed";
+}
--- /dev/null
+++ b/src/kept/encode_flags.ts
@@ -0,0 +1,8 @@
+/** Encodes flags as one bit each, base64. */
+export function encodeFlags(flags: boolean[]): string {
+  const bytes = Buffer.alloc(Math.ceil(flags.length / 8));
+  flags.forEach((flag, index) => {
+    if (flag) bytes[index >> 3] |= 1 << (index & 7);
+  });
+  return bytes.toString("base64");
+}
--- /dev/null
+++ b/src/kept/encode_progress.ts
@@ -0,0 +1,15 @@
+import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
+import { encodeFlags } from "./encode_flags.ts";
+import type { KeptProgressRow } from "./kept_progress_row.ts";
+
+/** Encodes what must outlast the scheduler of an open job. */
+export function encodeProgress({ tasks }: ScheduledJob): KeptProgressRow {
+  const failures: KeptProgressRow["failures"] = [];
+  tasks.forEach(({ failures: count, failedRun }, index) => {
+    if (count > 0) failures.push([index, count, failedRun]);
+  });
+  return {
+    done: encodeFlags(tasks.map(({ phase }) => phase === "done")),
+    failures,
+  };
+}
--- /dev/null
+++ b/src/kept/follow_stored_jobs.ts
@@ -0,0 +1,121 @@
+import { readError } from "../errors/read_error.ts";
+import { cancelJob } from "../scheduler/cancel_job.ts";
+import type { SchedulerState } from "../scheduler/scheduler_state.ts";
+import { submitStoredJob } from "../scheduler/submit_stored_job.ts";
+import type { TableRow } from "../store/table_row.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import type { EventLog } from "../vm/event_log.ts";
+import type { WatchedTable } from "../vm/watched_table.ts";
+import { decodeProgress } from "./decode_progress.ts";
+import { KEPT_KEYS } from "./kept_keys.ts";
+import type { KeptJobRow } from "./kept_job_row.ts";
+import type { KeptProgressRow } from "./kept_progress_row.ts";
+
+/** How long one watch waits for a change, in ms; a silent connection is found after it, well inside the time for a cancel. */
+const WATCH_MS = 500;
+/** Pause after a call of the store that failed, in ms. */
+const AGAIN_MS = 100;
+/** An earlier scheduler may have heard of jobs that are stored until then, in ms after this one began. */
+const OVERLAP_MS = 3_000;
+
+type Stored = {
+  rows: TableRow[];
+  progress: Map<string, KeptProgressRow>;
+  /** Whether an earlier scheduler may have begun the jobs. */
+  mayHaveRun: boolean;
+};
+
+/** Hands the scheduler the stored jobs that an earlier one had, then new ones and cancels as they are stored. */
+export function followStoredJobs(options: {
+  table: WatchedTable;
+  state: SchedulerState;
+  /** Runs a decision and carries out what follows from it. */
+  act: (decide: (nowMs: number) => void) => void;
+  log: EventLog;
+  /** Told the revision of each row of progress that an earlier scheduler wrote. */
+  foundProgress: (id: string, revision: number) => void;
+}): { stop(): void } {
+  const { table, state, act, log } = options;
+  let since = 0;
+  let isLost = false;
+  let isStopped = false;
+
+  function takeRows(stored: Stored): void {
+    // Without a value it is the row of a job that has ended.
+    const rows = stored.rows.filter(({ value }) => value !== undefined);
+    act((nowMs) => {
+      for (const row of rows) {
+        const { id, isCancel } = KEPT_KEYS.parseJob(row.key);
+        if (isCancel) cancelJob(state, id, nowMs);
+        else takeJob(row.value as KeptJobRow, { stored, nowMs });
+      }
+    });
+  }
+
+  function takeJob(
+    { order, acceptedAtMs }: KeptJobRow,
+    from: { stored: Stored; nowMs: number },
+  ): void {
+    const { stored, nowMs } = from;
+    const progress = stored.progress.get(order.id);
+    const ageMs = Math.max(0, Date.now() - acceptedAtMs);
+    submitStoredJob(state, { ...order, ageMs }, {
+      nowMs,
+      mayHaveRun: stored.mayHaveRun,
+      progress: progress && decodeProgress(progress, order),
+    });
+  }
+
+  /** Reads all jobs; those that are known already go on as they are. */
+  async function readAll(): Promise<void> {
+    const jobs = await table.scan(KEPT_KEYS.jobs, 0);
+    const found = await table.scan(KEPT_KEYS.progress, 0);
+    const progress = new Map<string, KeptProgressRow>();
+    for (const { key, value, revision } of found.rows) {
+      const id = KEPT_KEYS.parseId(key);
+      if (!state.jobs.has(id)) options.foundProgress(id, revision);
+      progress.set(id, value as KeptProgressRow);
+    }
+    if (isStopped) return;
+    takeRows({ rows: jobs.rows, progress, mayHaveRun: true });
+    since = jobs.revision;
+    if (state.areKeptJobsRead) return;
+    state.areKeptJobsRead = true;
+    log("storedJobsRead", { jobs: jobs.rows.length });
+  }
+
+  async function watch(): Promise<void> {
+    const { rows, revision } = await table.watch(KEPT_KEYS.jobs, {
+      sinceRevision: since,
+      waitMs: WATCH_MS,
+    });
+    if (isStopped) return;
+    since = Math.max(since, revision);
+    const mayHaveRun = readMonotonicMs() - state.beganMs < OVERLAP_MS;
+    if (rows.length > 0) takeRows({ rows, progress: new Map(), mayHaveRun });
+  }
+
+  async function follow(): Promise<void> {
+    while (!isStopped) {
+      try {
+        if (since === 0 || isLost) await readAll();
+        if (isLost) log("storeRegained", { watch: "storedJobs" });
+        isLost = false;
+        if (!isStopped) await watch();
+      } catch (thrown) {
+        const { message } = readError(thrown);
+        if (!isLost) log("storeLost", { watch: "storedJobs", message });
+        isLost = true;
+        await waitMs(AGAIN_MS);
+      }
+    }
+  }
+  follow();
+
+  return {
+    stop: () => {
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/src/kept/forget_ended_jobs.ts
@@ -0,0 +1,31 @@
+import type { Table } from "../store/table.ts";
+import { ROW_KEYS } from "../vm/row_keys.ts";
+import type { KeptEndRow } from "./kept_end_row.ts";
+import { KEPT_KEYS } from "./kept_keys.ts";
+
+/** Rows that one transaction removes; it may have a hundred entries. */
+const MOST_ROWS = 90;
+
+/** Removes the ends of jobs that nobody may ask for any more; tells how many. */
+export async function forgetEndedJobs(
+  table: Table,
+  options: { endedBeforeMs: number; roleRevision: number },
+): Promise<number> {
+  const { rows } = await table.scan(KEPT_KEYS.ends, 0);
+  const old = rows.filter(({ value }) =>
+    (value as KeptEndRow).endedAtMs < options.endedBeforeMs
+  );
+  const keys = old.map(({ key }) => key);
+  for (let from = 0; from < keys.length; from += MOST_ROWS) {
+    await table.transact([
+      {
+        type: "check",
+        key: ROW_KEYS.scheduler,
+        revision: options.roleRevision,
+      },
+      ...keys.slice(from, from + MOST_ROWS)
+        .map((key) => ({ type: "delete", key }) as const),
+    ]);
+  }
+  return keys.length;
+}
--- /dev/null
+++ b/src/kept/job_state.ts
@@ -0,0 +1,7 @@
+/** What a caller is told of a stored job. */
+export type JobState =
+  | "queued"
+  | "running"
+  | "completed"
+  | "failed"
+  | "cancelled";
--- /dev/null
+++ b/src/kept/save_stored_jobs.ts
@@ -0,0 +1,140 @@
+import { readError } from "../errors/read_error.ts";
+import type { EndMark } from "../scheduler/end_mark.ts";
+import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
+import type { SchedulerState } from "../scheduler/scheduler_state.ts";
+import { settleEnds } from "../scheduler/settle_ends.ts";
+import type { Table } from "../store/table.ts";
+import type { TableOperation } from "../store/table_operation.ts";
+import { waitMs } from "../utils/wait_ms.ts";
+import type { EventLog } from "../vm/event_log.ts";
+import { ROW_KEYS } from "../vm/row_keys.ts";
+import { encodeEnd } from "./encode_end.ts";
+import { encodeProgress } from "./encode_progress.ts";
+import { KEPT_KEYS } from "./kept_keys.ts";
+
+/** How often what has changed is written, in ms: ends wait for it, and a write takes a part of it. */
+const SAVE_MS = 20;
+/** Pause after a write that failed, in ms. */
+const AGAIN_MS = 100;
+/** Jobs of one transaction: each takes at most five of the hundred entries that one may have, as conditions and writes count apart. */
+const MOST_JOBS = 18;
+
+/** A job as it is being written, with the ends that endpoints may forget afterwards. */
+type Save = { job: ScheduledJob; marks: EndMark[]; isEnd: boolean };
+
+/**
+ * Stores what becomes of stored jobs before endpoints may forget it. Every
+ * write is on condition that the role has not gone on.
+ */
+export function saveStoredJobs(options: {
+  table: Table;
+  state: SchedulerState;
+  log: EventLog;
+  /** Revision of the row that gives this process the role. */
+  readRoleRevision: () => number;
+  /** Called when the role has gone on to another process. */
+  superseded: () => void;
+}): {
+  /** Learns the revision of a row of progress that an earlier scheduler wrote. */
+  foundProgress(id: string, revision: number): void;
+  stop(): void;
+} {
+  const { table, state, log } = options;
+  /** Of the rows of progress, by job. */
+  const revisions = new Map<string, number>();
+  let isBusy = false;
+  let isStopped = false;
+
+  function takeUnsaved(): Save[] {
+    const jobs = [...state.unsaved].slice(0, MOST_JOBS);
+    return jobs.map((job) => {
+      state.unsaved.delete(job);
+      const marks = job.unsettled;
+      job.unsettled = [];
+      return { job, marks, isEnd: job.outcome !== undefined };
+    });
+  }
+
+  function addBack({ job, marks }: Save): void {
+    state.unsaved.add(job);
+    job.unsettled.push(...marks);
+  }
+
+  function createOperations({ job, isEnd }: Save): TableOperation[] {
+    if (isEnd) return encodeEnd(job);
+    const { id } = job.order;
+    const key = KEPT_KEYS.formatProgress(id);
+    const value = encodeProgress(job);
+    const revision = revisions.get(id);
+    return revision === undefined
+      ? [{ type: "insert", key, value }]
+      : [{ type: "replace", key, value, revision }];
+  }
+
+  function confirm({ job, marks, isEnd }: Save, revision: number): void {
+    if (isEnd) revisions.delete(job.order.id);
+    else revisions.set(job.order.id, revision);
+    settleEnds(state, marks);
+  }
+
+  async function write(saves: Save[]): Promise<void> {
+    const result = await table.transact([
+      {
+        type: "check",
+        key: ROW_KEYS.scheduler,
+        revision: options.readRoleRevision(),
+      },
+      ...saves.flatMap(createOperations),
+    ]);
+    if (result.type === "committed") {
+      for (const save of saves) confirm(save, result.revision);
+      return;
+    }
+    const keys = new Set(result.keys);
+    if (keys.has(ROW_KEYS.scheduler)) options.superseded();
+    for (const save of saves) await settleConflict(save, keys);
+  }
+
+  /** An earlier write may have taken effect though its answer was lost. */
+  async function settleConflict(
+    save: Save,
+    conflicts: Set<string>,
+  ): Promise<void> {
+    const { id } = save.job.order;
+    if (save.isEnd && conflicts.has(KEPT_KEYS.formatEnd(id))) {
+      confirm(save, 0);
+      return;
+    }
+    addBack(save);
+    const key = KEPT_KEYS.formatProgress(id);
+    if (!conflicts.has(key)) return;
+    const { rows } = await table.scan(key, 0);
+    if (rows[0]) revisions.set(id, rows[0].revision);
+    else revisions.delete(id);
+  }
+
+  async function save(): Promise<void> {
+    if (isBusy || isStopped || !state.areKeptJobsRead) return;
+    if (state.unsaved.size === 0) return;
+    isBusy = true;
+    const saves = takeUnsaved();
+    try {
+      await write(saves);
+    } catch (thrown) {
+      for (const one of saves) addBack(one);
+      const { message } = readError(thrown);
+      log("jobsNotSaved", { jobs: saves.length, message });
+      await waitMs(AGAIN_MS);
+    }
+    isBusy = false;
+  }
+
+  const timer = setInterval(save, SAVE_MS);
+  return {
+    foundProgress: (id, revision) => revisions.set(id, revision),
+    stop: () => {
+      isStopped = true;
+      clearInterval(timer);
+    },
+  };
+}
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -1,6 +1,8 @@
 import { addRun } from "./add_run.ts";
 import type { KnownProgress } from "./known_progress.ts";
+import { recordChange } from "./record_change.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** By then another scheduler's leases have ended wherever it could not renew them, in ms. */
@@ -23,7 +25,8 @@
   );
   if (progress.isResubmitted || done.size > 0) job.isBegun = true;
   for (const task of job.tasks) {
-    if (done.has(task.name) || state.earlierDone.has(task.name)) {
+    const isDone = adoptEnds(state, task);
+    if (done.has(task.name) || isDone) {
       task.phase = "done";
       job.openCount -= 1;
       continue;
@@ -48,6 +51,19 @@
   }
 }
 
+/** Takes over the ends that were heard before the job; tells whether the task is done. */
+function adoptEnds(state: SchedulerState, task: ScheduledTask): boolean {
+  const ends = state.earlierEnds.get(task.name)?.ends ?? [];
+  for (const { how, run, mark } of ends) {
+    recordChange(state, task.job, mark);
+    if (how === "done" || run <= task.failedRun) continue;
+    if (!task.job.order.isKept) continue;
+    task.failures += 1;
+    task.failedRun = run;
+  }
+  return ends.some(({ how }) => how === "done");
+}
+
 function findStrangerPlace(state: SchedulerState, name: string) {
   for (const endpoint of state.endpoints.values()) {
     const stranger = endpoint.strangers.get(name);
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -2,12 +2,15 @@
 import { endJob } from "./end_job.ts";
 import { forgetRuns } from "./forget_runs.ts";
 import { replaceStragglers } from "./replace_stragglers.ts";
+import { computeLeastClock } from "./compute_least_clock.ts";
+import { lapseLeases } from "./lapse_leases.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
 import { reviewUnaccounted } from "./review_unaccounted.ts";
 import { reviewWaiting } from "./review_waiting.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** How long an ended job is remembered for callers that ask again, in ms. */
@@ -16,8 +19,6 @@
 const STRANGER_MS = 400;
 /** The same for a VM that serves alone: those runs are another scheduler's, which goes on elsewhere. */
 const SOLO_STRANGER_MS = 0;
-/** Endpoints' clocks may run this much slower than ours. */
-const CLOCK_RATE = 0.98;
 /** Added to a lease's end before its runs are taken as over, in ms. */
 const LAPSE_MARGIN_MS = 100;
 
@@ -30,6 +31,7 @@
   }
   endJobs(state, nowMs);
   replaceStragglers(state, nowMs);
+  lapseLeases(state, nowMs);
   reviewUnaccounted(state, nowMs);
   reviewWaiting(state, nowMs);
   placeTasks(state, nowMs);
@@ -42,11 +44,17 @@
 ): void {
   for (const task of [...endpoint.runs.values()]) {
     if (task.clearMs === 0 || task.clearMs > nowMs) continue;
+    if (task.job.order.isKept && !isEndListed(endpoint, task)) continue;
     dropRun(endpoint, task);
     retryTask(state, task, "stopped");
   }
 }
 
+/** Whether an end of the run before its stop took effect would have been listed; a stored job's task that was done must not run again. */
+function isEndListed(endpoint: EndpointRecord, task: ScheduledTask): boolean {
+  return endpoint.phase === "usable" && endpoint.listedMs > task.clearMs;
+}
+
 function lapseRuns(
   state: SchedulerState,
   endpoint: EndpointRecord,
@@ -54,14 +62,15 @@
 ): void {
   if (endpoint.phase !== "silent" && endpoint.phase !== "taken") return;
   if (endpoint.runs.size === 0) return;
-  const clockMs = endpoint.clockMs + (nowMs - endpoint.heardMs) * CLOCK_RATE;
-  if (clockMs < endpoint.leaseEndMs + LAPSE_MARGIN_MS) return;
+  if (
+    computeLeastClock(endpoint, nowMs) < endpoint.leaseEndMs + LAPSE_MARGIN_MS
+  ) return;
   recordEvent(state, "endpointLapsed", {
     endpoint: endpoint.row.id,
     runs: endpoint.runs.size,
     silentMs: Math.round(nowMs - endpoint.heardMs),
   });
-  forgetRuns(state, endpoint, "lapsed");
+  forgetRuns(state, endpoint, { reason: "lapsed" });
 }
 
 function stopStrangers(
@@ -69,6 +78,8 @@
   endpoint: EndpointRecord,
   nowMs: number,
 ): void {
+  // Until the stored jobs have been read, their runs are nobody's.
+  if (!state.areKeptJobsRead) return;
   const graceMs = state.isSolo ? SOLO_STRANGER_MS : STRANGER_MS;
   for (const [task, stranger] of endpoint.strangers) {
     if (stranger.isStopping || nowMs - stranger.seenMs < graceMs) continue;
@@ -83,7 +94,10 @@
 function endJobs(state: SchedulerState, nowMs: number): void {
   for (const job of state.jobs.values()) {
     if (job.outcome) {
-      if (nowMs - job.endedMs > REMEMBER_MS) state.jobs.delete(job.order.id);
+      if (nowMs - job.endedMs <= REMEMBER_MS || state.unsaved.has(job)) {
+        continue;
+      }
+      state.jobs.delete(job.order.id);
     } else if (job.orphanedMs !== undefined && job.orphanedMs <= nowMs) {
       endJob(state, job, {
         outcome: { type: "failed", reason: "abandoned" },
@@ -91,7 +105,7 @@
       });
     }
   }
-  for (const [task, heardMs] of state.earlierDone) {
-    if (nowMs - heardMs > REMEMBER_MS) state.earlierDone.delete(task);
+  for (const [task, { heardMs }] of state.earlierEnds) {
+    if (nowMs - heardMs > REMEMBER_MS) state.earlierEnds.delete(task);
   }
 }
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -1,3 +1,4 @@
+import { applyEarlierEnd } from "./apply_earlier_end.ts";
 import type { EndpointListing } from "./endpoint_listing.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { endRun } from "./end_run.ts";
@@ -23,13 +24,23 @@
   const nowMs = listing.receivedMs;
   if (endpoint.bornMs !== 0 && endpoint.bornMs !== listing.bornMs) {
     recordEvent(state, "endpointReborn", { endpoint: endpointId });
-    forgetRuns(state, endpoint, "endpointReborn");
+    // A start that was on its way may have been carried out by the new process.
+    forgetRuns(state, endpoint, {
+      reason: "endpointReborn",
+      confirmedBeforeMs: listing.sentMs,
+    });
     endpoint.lastEnd = 0;
+    // Its clock began anew; an order on its way may still give it a whole lease.
+    endpoint.leaseEndMs = listing.clockMs + state.limits.leaseMs;
+    endpoint.unsettled.clear();
+    endpoint.lapseByClockMs = 0;
   }
   endpoint.bornMs = listing.bornMs;
   endpoint.listedMs = listing.sentMs;
   recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
-  if (endpoint.phase === "taken") forgetRuns(state, endpoint, "taken");
+  if (endpoint.phase === "taken") {
+    forgetRuns(state, endpoint, { reason: "taken" });
+  }
   for (const end of listing.ended) applyEnd(state, endpoint, { end, nowMs });
   applyRunning(state, endpoint, listing);
   if (endpoint.phase !== "usable") {
@@ -54,13 +65,16 @@
   endpoint.lastEnd = end.number;
   const task = endpoint.runs.get(end.task);
   if (task && task.run === end.run) {
-    endRun(state, endpoint, { task, how: end.how, nowMs });
+    const { number, how } = end;
+    const { bornMs } = endpoint;
+    const mark = { endpointId: endpoint.row.id, bornMs, number };
+    endRun(state, endpoint, { task, how, mark, nowMs });
     return;
   }
   if (endpoint.strangers.get(end.task)?.run === end.run) {
     endpoint.strangers.delete(end.task);
   }
-  if (end.how === "done") state.earlierDone.set(end.task, nowMs);
+  applyEarlierEnd(state, endpoint, { end, nowMs });
 }
 
 function applyRunning(
--- /dev/null
+++ b/src/scheduler/cancel_job.ts
@@ -0,0 +1,16 @@
+import { endJob } from "./end_job.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Ends a stored job that its caller has cancelled. */
+export function cancelJob(
+  state: SchedulerState,
+  jobId: string,
+  nowMs: number,
+): void {
+  const job = state.jobs.get(jobId);
+  if (!job?.order.isKept || job.outcome) return;
+  endJob(state, job, {
+    outcome: { type: "failed", reason: "cancelled" },
+    nowMs,
+  });
+}
--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -34,7 +34,7 @@
   const { row, used, phase } = endpoint;
   if (phase !== "usable" || row.isDraining) return false;
   // A start would extend the lease of runs that another scheduler takes as ending.
-  if (endpoint.strangers.size > 0) return false;
+  if (endpoint.strangers.size > 0 || endpoint.lapseByClockMs > 0) return false;
   if (row.service !== task.job.order.service) return false;
   if (endpoint.restUntilMs > nowMs) return false;
   if (endpoint.strikes > 0 && endpoint.runs.size > 0) return false;
--- /dev/null
+++ b/src/scheduler/compute_acknowledged_end.ts
@@ -0,0 +1,17 @@
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Computes up to which end an endpoint may forget its list: what the store must know is listed until it does. */
+export function computeAcknowledgedEnd(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  nowMs: number,
+): number {
+  if (!state.areKeptJobsRead) return 0;
+  let acknowledged = endpoint.lastEnd;
+  for (const [number, untilMs] of endpoint.unsettled) {
+    if (untilMs <= nowMs) endpoint.unsettled.delete(number);
+    else acknowledged = Math.min(acknowledged, number - 1);
+  }
+  return acknowledged;
+}
--- a/src/scheduler/compute_lease_end.ts
+++ b/src/scheduler/compute_lease_end.ts
@@ -15,6 +15,7 @@
   if (endpoint.phase !== "usable" || endpoint.strangers.size > 0) {
     return undefined;
   }
+  if (endpoint.lapseByClockMs > 0) return undefined;
   const clockMs = endpoint.clockMs + (nowMs - endpoint.heardMs);
   return Math.floor(clockMs + state.limits.leaseMs);
 }
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -4,7 +4,18 @@
 /** Creates the state of a scheduler that has just been given its token. */
 export function createSchedulerState(
   token: number,
-  options: { limits: SchedulerLimits; nowMs: number; isSolo?: boolean },
+  options: {
+    limits: SchedulerLimits;
+    nowMs: number;
+    /** Default: false. */
+    isSolo?: boolean;
+    /** Default: false. */
+    hasKeptJobs?: boolean;
+    /** Default: true. */
+    areKeptJobsRead?: boolean;
+    /** Ids of endpoints that were listed before; until they are listed or heard they may run something. Default: none. */
+    knownEndpoints?: string[];
+  },
 ): SchedulerState {
   return {
     token,
@@ -14,8 +25,14 @@
     jobs: new Map(),
     waiting: new Set(),
     endpoints: new Map(),
-    earlierDone: new Map(),
-    missing: new Map(),
+    earlierEnds: new Map(),
+    roleCertainUntilMs: Infinity,
+    hasKeptJobs: options.hasKeptJobs ?? false,
+    areKeptJobsRead: options.areKeptJobsRead ?? true,
+    unsaved: new Set(),
+    missing: new Map(
+      options.knownEndpoints?.map((id) => [id, options.nowMs]),
+    ),
     routes: new Map(),
     effects: [],
   };
--- a/src/scheduler/drop_caller.ts
+++ b/src/scheduler/drop_caller.ts
@@ -8,7 +8,7 @@
   from: { vm: string; nowMs: number },
 ): void {
   const job = state.jobs.get(jobId);
-  if (!job || job.outcome) return;
+  if (!job || job.outcome || job.order.isKept) return;
   job.vms.delete(from.vm);
   if (job.vms.size > 0) return;
   const outcome = job.isBegun
--- a/src/scheduler/effect.ts
+++ b/src/scheduler/effect.ts
@@ -30,6 +30,8 @@
   | "endpointTaken"
   | "endpointSlow"
   | "taskMoved"
+  | "leaseNotExtended"
+  | "leaseEnded"
   | "endpointReclaimed"
   | "endpointReborn"
   | "endpointRested"
--- a/src/scheduler/end_job.ts
+++ b/src/scheduler/end_job.ts
@@ -1,3 +1,4 @@
+import { recordChange } from "./record_change.ts";
 import { recordEvent } from "./record_event.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
@@ -14,6 +15,7 @@
   job.outcome = outcome;
   job.endedMs = nowMs;
   state.waiting.delete(job);
+  recordChange(state, job);
   job.waitingCount = 0;
   state.effects.push({
     type: "tellEnded",
--- a/src/scheduler/end_run.ts
+++ b/src/scheduler/end_run.ts
@@ -1,22 +1,29 @@
 import { endJob } from "./end_job.ts";
+import type { EndMark } from "./end_mark.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { finishTask } from "./finish_task.ts";
 import { learnFailure } from "./learn_failure.ts";
 import { learnRunTime } from "./learn_run_time.ts";
+import { recordChange } from "./record_change.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
-import { releaseSteps } from "./release_steps.ts";
 
 /** Takes note of a run's end as its endpoint lists it. */
 export function endRun(
   state: SchedulerState,
   endpoint: EndpointRecord,
-  end: { task: ScheduledTask; how: RunEnd["how"]; nowMs: number },
+  end: {
+    task: ScheduledTask;
+    how: RunEnd["how"];
+    mark: EndMark;
+    nowMs: number;
+  },
 ): void {
-  const { task, how, nowMs } = end;
+  const { task, how, mark, nowMs } = end;
   dropRun(endpoint, task);
   recordEvent(state, "taskEnded", {
     task: task.name,
@@ -25,7 +32,9 @@
     how,
     tookMs: Math.round(nowMs - task.sentMs),
   });
-  if (task.job.outcome) return;
+  // An older run of a stored job's task may have been found done meanwhile.
+  if (task.job.outcome || task.phase === "done") return;
+  if (how === "done" || how === "failed") recordChange(state, task.job, mark);
   if (how === "done") {
     learnRunTime(state, endpoint, { task, nowMs });
     finishTask(state, task, nowMs);
@@ -35,29 +44,13 @@
   } else retryTask(state, task, how);
 }
 
-function finishTask(
-  state: SchedulerState,
-  task: ScheduledTask,
-  nowMs: number,
-): void {
-  const { job } = task;
-  if (task.phase === "waiting") job.waitingCount -= 1;
-  task.phase = "done";
-  job.openCount -= 1;
-  if (job.openCount === 0) {
-    endJob(state, job, { outcome: { type: "completed" }, nowMs });
-    return;
-  }
-  state.effects.push({ type: "tellDone", vms: [...job.vms], task: task.name });
-  releaseSteps(state, job);
-}
-
 function failTask(
   state: SchedulerState,
   task: ScheduledTask,
   at: { endpointId: string; nowMs: number },
 ): void {
   task.failures += 1;
+  task.failedRun = task.run;
   task.failedOn.push(at.endpointId);
   if (task.failures < task.job.order.maxAttempts) {
     retryTask(state, task, "failed");
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -18,6 +18,8 @@
   strangers: Map<string, StrangerRun>;
   /** Number of the last end that was taken note of. */
   lastEnd: number;
+  /** Ends up to `lastEnd` that the endpoint must go on listing, with the time until which, in ms. */
+  unsettled: Map<number, number>;
   /** When the last listing that came was asked for, in ms. */
   listedMs: number;
   /** The endpoint's clock at `heardMs`, in ms. */
@@ -26,6 +28,8 @@
   heardMs: number;
   /** Latest end of a lease granted, by the endpoint's clock, in ms. */
   leaseEndMs: number;
+  /** While this is set the lease is not extended, so that it has ended when the endpoint's clock shows it, in ms; otherwise 0. */
+  lapseByClockMs: number;
   /** Run time relative to an average endpoint. */
   slowness: number;
   /** Ends that `slowness` was learnt from. */
--- a/src/scheduler/find_refusal.ts
+++ b/src/scheduler/find_refusal.ts
@@ -1,7 +1,7 @@
+import { canEverFit } from "./can_ever_fit.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
-import type { StepOrder } from "./step_order.ts";
 
 type Refusal = Extract<JobOutcome, { type: "refused" }>;
 
@@ -15,12 +15,15 @@
   nowMs: number,
 ): Refusal | undefined {
   const { order } = job;
+  // A stored job is run however late.
+  if (order.isKept) return undefined;
   if (nowMs + job.chainMs * 0.5 > job.uselessMs) return refuse("outOfTime");
   if (isCutOff(state)) return refuse("noEndpoints");
   const isListed = nowMs - state.beganMs > 1_000 || state.endpoints.size > 0;
   if (!isListed) return undefined;
+  const rows = [...state.endpoints.values()].map(({ row }) => row);
   const fits = order.steps.every((step) =>
-    canEverFit(state, order.service, step)
+    canEverFit(rows, order.service, step)
   );
   if (!fits && state.endpoints.size > 0) return refuse("neverFits");
   return undefined;
@@ -35,19 +38,3 @@
   if (!state.isSolo || state.endpoints.size === 0) return false;
   return [...state.endpoints.values()].every(({ phase }) => phase === "taken");
 }
-
-function canEverFit(
-  state: SchedulerState,
-  service: string,
-  step: StepOrder,
-): boolean {
-  for (const { row } of state.endpoints.values()) {
-    if (row.service !== service) continue;
-    const { requiredLabel, room } = step;
-    if (requiredLabel && !row.labels.includes(requiredLabel)) continue;
-    const fits = row.room.cpu >= room.cpu &&
-      row.room.memoryMb >= room.memoryMb && row.room.gpus >= room.gpus;
-    if (fits) return true;
-  }
-  return false;
-}
--- a/src/scheduler/forget_runs.ts
+++ b/src/scheduler/forget_runs.ts
@@ -3,13 +3,21 @@
 import { retryTask } from "./retry_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** Drops all runs of an endpoint of which none can be there any more. */
+/** Drops the runs of an endpoint that can't be there any more. */
 export function forgetRuns(
   state: SchedulerState,
   endpoint: EndpointRecord,
-  reason: string,
+  options: {
+    reason: string;
+    /** Only runs that were confirmed before, in ms; absent: all. */
+    confirmedBeforeMs?: number;
+  },
 ): void {
+  const { reason, confirmedBeforeMs } = options;
   for (const task of [...endpoint.runs.values()]) {
+    const isOlder = confirmedBeforeMs === undefined ||
+      task.confirmedMs > 0 && task.confirmedMs < confirmedBeforeMs;
+    if (!isOlder) continue;
     dropRun(endpoint, task);
     retryTask(state, task, reason);
   }
--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -21,4 +21,6 @@
   ageMs: number;
   /** How long the caller waits for the answer, from the request on, in ms. */
   waitMs: number;
+  /** The job is stored, and its caller was answered when it was: it is run to its end whoever waits. Default: false. */
+  isKept?: boolean;
 };
--- a/src/scheduler/job_outcome.ts
+++ b/src/scheduler/job_outcome.ts
@@ -7,7 +7,7 @@
   /** No task has run or will run. */
   | { type: "refused"; reason: RefusalReason; retryAfterMs: number };
 
-type FailureReason = "attemptsUsed" | "outOfTime" | "abandoned";
+type FailureReason = "attemptsUsed" | "outOfTime" | "abandoned" | "cancelled";
 type RefusalReason =
   | "outOfTime"
   | "noRoomInTime"
--- a/src/scheduler/lose_vm.ts
+++ b/src/scheduler/lose_vm.ts
@@ -1,3 +1,4 @@
+import { isWanted } from "./is_wanted.ts";
 import { recordEvent } from "./record_event.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -16,7 +17,7 @@
     ? state.limits.resendMs + RESEND_MARGIN_MS
     : SILENT_MS;
   for (const job of state.jobs.values()) {
-    if (!job.vms.delete(vm) || job.vms.size > 0 || job.outcome) continue;
+    if (!job.vms.delete(vm) || isWanted(job) || job.outcome) continue;
     job.orphanedMs = lost.nowMs + graceMs;
     recordEvent(state, "jobOrphaned", { job: job.order.id, vm, graceMs });
   }
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -1,11 +1,13 @@
 import { computeRank } from "../decide/compute_rank.ts";
 import { canStartLate } from "../decide/can_start_late.ts";
+import { isWanted } from "./is_wanted.ts";
 import { isLate } from "../decide/is_late.ts";
 import { addRun } from "./add_run.ts";
 import type { ServiceRoom } from "./service_room.ts";
 import { computeRoom } from "./compute_room.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { recordChange } from "./record_change.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -24,8 +26,8 @@
   );
   let room = computeRoom(state);
   for (const job of jobs) {
-    // Without a VM that waits for it a job may live on elsewhere, so nothing new of it starts here.
-    if (job.vms.size === 0) continue;
+    if (!isWanted(job)) continue;
+    if (job.order.isKept && nowMs > state.roleCertainUntilMs) continue;
     if (!job.isBegun && isLate(job, nowMs)) {
       if (!canStartLate(findRoom(room, job))) continue;
     }
@@ -80,6 +82,7 @@
   task.clearMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
+  if (!job.isBegun) recordChange(state, job);
   job.isBegun = true;
   job.waitingCount -= 1;
   if (job.waitingCount === 0) state.waiting.delete(job);
--- /dev/null
+++ b/src/scheduler/record_change.ts
@@ -0,0 +1,16 @@
+import type { EndMark } from "./end_mark.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Takes note that a stored job has changed; an end that changed it is confirmed to its endpoint only once it is stored. */
+export function recordChange(
+  state: SchedulerState,
+  job: ScheduledJob,
+  mark?: EndMark,
+): void {
+  if (!job.order.isKept) return;
+  state.unsaved.add(job);
+  if (!mark) return;
+  job.unsettled.push(mark);
+  state.endpoints.get(mark.endpointId)?.unsettled.set(mark.number, Infinity);
+}
--- a/src/scheduler/replace_stragglers.ts
+++ b/src/scheduler/replace_stragglers.ts
@@ -1,6 +1,7 @@
 import { isWorthMoving } from "../decide/is_worth_moving.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { isWanted } from "./is_wanted.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -23,7 +24,7 @@
   nowMs: number,
 ): boolean {
   const { job } = task;
-  if (task.phase !== "running" || job.outcome || job.vms.size === 0) {
+  if (task.phase !== "running" || job.outcome || !isWanted(job)) {
     return false;
   }
   if (task.clearMs > 0 || task.moves >= MOST_MOVES) return false;
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -1,5 +1,6 @@
 import type { JobOrder } from "./job_order.ts";
 import type { JobOutcome } from "./job_outcome.ts";
+import type { EndMark } from "./end_mark.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 
 /** A job at the scheduler. */
@@ -25,6 +26,8 @@
   /** Why the last attempt to place it found no room, for the log. */
   outcome?: JobOutcome;
   endedMs: number;
+  /** Ends of a stored job's runs that the store does not know of yet. */
+  unsettled: EndMark[];
   /** When its last VM was lost without having abandoned it, in ms. */
   orphanedMs?: number;
 };
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -19,6 +19,8 @@
   /** When a confirmed stop has surely taken effect, in ms; 0 while none is confirmed. */
   clearMs: number;
   failures: number;
+  /** Number of the latest run that counts among the failures. */
+  failedRun: number;
   /** Endpoints where a run of the task failed or a start was not answered. */
   failedOn: string[];
   /** Another scheduler may have started it at an endpoint not heard since; until then it waits, in ms. 0 when accounted for. */
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -1,3 +1,4 @@
+import type { EarlierEnds } from "./earlier_ends.ts";
 import type { Effect } from "./effect.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
@@ -16,8 +17,16 @@
   /** Jobs with tasks that wait for room. */
   waiting: Set<ScheduledJob>;
   endpoints: Map<string, EndpointRecord>;
-  /** Tasks that were done under an earlier scheduler, with the time of the news, in ms. */
-  earlierDone: Map<string, number>;
+  /** Ends of runs that this scheduler has no job for, by task. */
+  earlierEnds: Map<string, EarlierEnds>;
+  /** Until when no other process can have become the scheduler, in ms; stored jobs start nothing after it. */
+  roleCertainUntilMs: number;
+  /** Whether stored jobs may have runs or ends that this scheduler has not heard of. */
+  hasKeptJobs: boolean;
+  /** Whether the stored jobs have been read; before that no end is taken note of for good. */
+  areKeptJobsRead: boolean;
+  /** Stored jobs of which the store does not know all. */
+  unsaved: Set<ScheduledJob>;
   /** Endpoints that left the list without having been heard, with the time, in ms: others may reach them still. */
   missing: Map<string, number>;
   /** Learnt run time relative to the callers' estimates, by route. */
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -1,21 +1,15 @@
-import { predictChain } from "../decide/predict_chain.ts";
+import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
 import { findRefusal } from "./find_refusal.ts";
-import { formatTaskName } from "./format_task_name.ts";
 import type { JobOrder } from "./job_order.ts";
 import type { KnownProgress } from "./known_progress.ts";
 import { placeTasks } from "./place_tasks.ts";
-import { predictRunMs } from "./predict_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import { adoptTasks } from "./adopt_tasks.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
-import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import { releaseSteps } from "./release_steps.ts";
 
-/** An answer this many times later than its objective is worth nothing to the caller. */
-const USELESS_FACTOR = 3;
-
 /** Takes a job from a VM; the same id again joins the job that is there. */
 export function submitJob(
   state: SchedulerState,
@@ -66,61 +60,3 @@
     outcome: job.outcome,
   });
 }
-
-function createJob(
-  state: SchedulerState,
-  order: JobOrder,
-  nowMs: number,
-): ScheduledJob {
-  const chainMs = predictChain(
-    order.steps,
-    (step) => predictRunMs(state, order.route, step),
-  );
-  const arrivedMs = nowMs - order.ageMs;
-  const allowedMs = order.stretch * chainMs + order.slackMs;
-  const job: ScheduledJob = {
-    order,
-    vms: new Set(),
-    tasks: [],
-    waitingCount: 0,
-    openCount: 0,
-    arrivedMs,
-    chainMs,
-    objectiveMs: arrivedMs + allowedMs,
-    uselessMs: arrivedMs + USELESS_FACTOR * allowedMs,
-    isBegun: false,
-    endedMs: 0,
-  };
-  job.tasks = order.steps.flatMap((step, stepIndex) =>
-    Array.from(
-      { length: step.count },
-      (_, index) => createTask(job, stepIndex, index),
-    )
-  );
-  job.openCount = job.tasks.length;
-  return job;
-}
-
-function createTask(
-  job: ScheduledJob,
-  step: number,
-  index: number,
-): ScheduledTask {
-  return {
-    name: formatTaskName(job.order.id, step, index),
-    job,
-    step,
-    phase: "blocked",
-    run: 0,
-    sentMs: 0,
-    confirmedMs: 0,
-    clearMs: 0,
-    failures: 0,
-    failedOn: [],
-    unaccountedUntilMs: 0,
-    unaccountedSinceMs: 0,
-    progress: 0,
-    expectedEndMs: 0,
-    moves: 0,
-  };
-}
--- a/src/vm/create_endpoint_sessions.ts
+++ b/src/vm/create_endpoint_sessions.ts
@@ -3,6 +3,7 @@
 import { applySilence } from "../scheduler/apply_silence.ts";
 import { applyStartReply } from "../scheduler/apply_start_reply.ts";
 import { applyStopReply } from "../scheduler/apply_stop_reply.ts";
+import { computeAcknowledgedEnd } from "../scheduler/compute_acknowledged_end.ts";
 import { computeLeaseEnd } from "../scheduler/compute_lease_end.ts";
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
@@ -19,9 +20,11 @@
 const PROBE_MS = 150;
 /** The same for an endpoint that obeys a later scheduler, in ms. */
 const TAKEN_PROBE_MS = 300;
+/** Pause before an endpoint is asked again whose ends are being stored, in ms: about the time of a write. */
+const UNSETTLED_MS = 30;
 /** Pause before a stop that was not confirmed is sent again, in ms. */
 const STOP_AGAIN_MS = 50;
-/** A stop is sent at most this often: its run's lease has ended by then. */
+/** A stop of a run that is nobody's is sent at most this often: its lease has ended by then. */
 const MOST_STOPS = 40;
 
 type Start = Extract<Effect, { type: "startTask" }>;
@@ -59,7 +62,10 @@
         endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
       }
       const wait = isKnown && failures === 0 ? LIST_WAIT_MS : 0;
-      const { lastEnd } = endpoint;
+      // Behind a connection that broke there may be a new process, which counts its ends anew.
+      const lastEnd = failures > 0
+        ? 0
+        : computeAcknowledgedEnd(state, endpoint, nowMs);
       try {
         const listing = await session.client.list({
           token: endpoint.token,
@@ -77,6 +83,8 @@
         if (listing === "otherInstance") throw new Error("another instance");
         failures = 0;
         act(() => applyListing(state, id, listing));
+        // It answers at once while it has ends that it may not forget yet.
+        if (endpoint.unsettled.size > 0) await waitMs(UNSETTLED_MS);
       } catch {
         failures += 1;
         if (failures > 1) act((at) => applySilence(state, id, at));
@@ -111,7 +119,9 @@
 
   async function stop(effect: Stop): Promise<void> {
     const { endpointId, task, run } = effect;
-    for (let attempt = 0; attempt < MOST_STOPS; attempt += 1) {
+    const isCurrent = () =>
+      state.endpoints.get(endpointId)?.runs.get(task)?.run === run;
+    for (let sent = 0; sent < MOST_STOPS || isCurrent(); sent += 1) {
       const session = sessions.get(endpointId);
       if (!session?.isOpen) return;
       if (
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -4,6 +4,7 @@
 import { waitMs } from "../utils/wait_ms.ts";
 import type { BeatRow } from "./beat_row.ts";
 import { computeToken } from "./compute_token.ts";
+import { createLinkSlot } from "./create_link_slot.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
 import { followSchedulerRow } from "./follow_scheduler_row.ts";
@@ -29,6 +30,8 @@
 const RAISE_MS = 700;
 /** The same for a process that has just begun, when all may be starting, in ms. */
 const FIRST_SOLO_MS = 3_000;
+/** A scheduler counts as new for this long, in ms: until a process that has just started runs at its usual speed. */
+const NEW_MS = 3_000;
 /** A scheduler that lost this part of the endpoints to a later one gives up. */
 const SUPERSEDED_SHARE = 0.5;
 
@@ -45,6 +48,8 @@
     token: number;
     /** The VMs known when this one began to serve alone; absent for the scheduler of all. */
     soloAmong?: LinkedVm[];
+    hasKeptJobs: boolean;
+    readRoleRevision: () => number;
     superseded: (share: number) => void;
     vms: LinkedVm[];
   }) => SchedulerHost;
@@ -54,6 +59,8 @@
   findHost(): SchedulerHost | undefined;
   /** The holder of the role, as far as this VM knows. */
   findRow(): SchedulerRow | undefined;
+  /** Stored jobs of a route of which no task has begun, as last heard. */
+  countPending(route: string): number;
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log } = options;
@@ -61,10 +68,10 @@
   let row: TableRow<SchedulerRow> | undefined;
   let host: SchedulerHost | undefined;
   let solo: SchedulerHost | undefined;
-  let link: SchedulerLink | undefined;
-  let linkedEpoch = 0;
-  /** The incarnation of the process that the link leads to. */
-  let linkedTo = "";
+  const slot = createLinkSlot(jobs, log);
+  let pending: Record<string, number> = {};
+  /** Until a scheduler has said otherwise there may be stored jobs. */
+  let hasKeptJobs = true;
   let isLeaving = false;
   let isAttaching = false;
   /** Counts the VMs asked for the holder, so that each gets its turn. */
@@ -74,13 +81,13 @@
   let vms: LinkedVm[] = [];
   /** Every VM heard of; it stays when it leaves this one's scheduler, as it then knows the next. */
   const peers = new Map<string, LinkedVm>();
-  let lostMs = readMonotonicMs();
   let lostHow: "closed" | "silent" = "closed";
+  /** When this VM heard of the holder of the row. */
+  let holderKnownMs = readMonotonicMs();
   let isAsked = false;
   let isReviewing = false;
   let raisedMs = 0;
   let storeOffsetMs = 0;
-  let wasLinked = false;
   let isStopped = false;
 
   const watcher = followSchedulerRow(ports.table, { log, changed: takeRow });
@@ -90,37 +97,25 @@
     const isSameHolder = row?.value.incarnation === next.value.incarnation;
     row = next;
     // A new holder gets the same time as the old one before it is doubted.
-    if (!isSameHolder) isRowTried = false;
-    if (!isSameHolder && !link) lostMs = readMonotonicMs();
+    if (!isSameHolder) learnHolder();
     log("schedulerKnown", { vm: next.value.vm, epoch: next.value.epoch });
     if (isSameHolder) return;
     if (host && next.value.incarnation !== incarnation) endHost("superseded");
   }
 
+  /** What was found out about the holder before does not hold for this one. */
+  function learnHolder(): void {
+    isRowTried = false;
+    lostHow = "silent";
+    holderKnownMs = readMonotonicMs();
+    slot.restartWait();
+  }
+
   function endHost(reason: string): void {
     log("schedulerStopping", { epoch: host?.epoch, reason });
     host?.stop();
     host = undefined;
-    dropLink(reason);
-  }
-
-  function dropLink(reason: string): void {
-    if (!link) return;
-    log("linkDropped", { epoch: linkedEpoch, reason });
-    link.close();
-    link = undefined;
-    linkedEpoch = 0;
-    lostMs = readMonotonicMs();
-    jobs.setLink(undefined);
-  }
-
-  function setLink(next: SchedulerLink, incarnationOf: string): void {
-    link = next;
-    linkedTo = incarnationOf;
-    linkedEpoch = next.epoch;
-    wasLinked = true;
-    log("linked", { epoch: next.epoch, jobs: jobs.count() });
-    jobs.setLink(next);
+    slot.drop(reason);
   }
 
   const events: LinkEvents = {
@@ -128,11 +123,13 @@
     status: (status) => {
       vms = status.successors;
       for (const vm of vms) peers.set(vm.name, vm);
-      if (link) linkedEpoch = status.epoch;
+      slot.setEpoch(status.epoch);
+      pending = status.pending;
+      hasKeptJobs = status.hasKeptJobs;
       options.heardVersion(status.configurationVersion);
     },
     left: () => {
-      if (link && !isLeaving) dropLink("left");
+      if (!isLeaving) slot.drop("left");
     },
     resignation: (reason) => {
       log("takeoverAsked", { reason });
@@ -142,22 +139,24 @@
 
   /** What the earlier scheduler has begun must be known before another gets the jobs. */
   async function closeOldLink(): Promise<void> {
+    const link = slot.find();
     if (!link || solo) return;
     isLeaving = true;
     await link.leave();
     isLeaving = false;
-    dropLink("superseded");
+    slot.drop("superseded");
   }
 
   function isSuperseded(): boolean {
     return row !== undefined && row.value.vm !== name &&
-      row.value.epoch > linkedEpoch && row.value.incarnation !== linkedTo;
+      row.value.epoch > slot.readEpoch() &&
+      row.value.incarnation !== slot.readIncarnation();
   }
 
   function attachToHost(current: SchedulerHost): void {
     const attachment = current.attach(name, events);
     attachment.report(options.readReport());
-    setLink({
+    slot.set({
       epoch: current.epoch,
       isSolo: current === solo,
       submit: attachment.submit,
@@ -172,7 +171,7 @@
     if (row && value.epoch <= row.value.epoch) return;
     const key = ROW_KEYS.scheduler;
     row = { key, value, revision: 0, updatedAtMs: 0 };
-    isRowTried = false;
+    learnHolder();
     log("schedulerKnown", { vm: value.vm, epoch: value.epoch, from: "peer" });
   }
 
@@ -183,7 +182,7 @@
     if (value.vm !== name) await attachToPeer(value);
     const others = [...peers.values()]
       .filter((vm) => vm.name !== name && vm.name !== value.vm);
-    if (!link && watcher.isLost() && others.length > 0) {
+    if (!slot.find() && watcher.isLost() && others.length > 0) {
       const { address } = others[asked % others.length];
       asked += 1;
       await attachToPeer({ ...value, address });
@@ -202,10 +201,10 @@
         redirected: takeRedirect,
         lost: (how) => {
           isDead = true;
-          if (link !== opened) return;
+          if (slot.find() !== opened) return;
           lostHow = how;
           isRowTried = true;
-          dropLink(how);
+          slot.drop(how);
         },
       });
       opened = next;
@@ -217,11 +216,13 @@
       await closeOldLink();
       if (isDead) return;
       endSolo();
-      setLink(next, value.incarnation);
+      slot.set(next, value.incarnation);
     } catch (thrown) {
-      isRowTried = true;
       const { message } = readError(thrown);
-      lostHow = message === "closed" ? "closed" : "silent";
+      if (row?.value.incarnation === value.incarnation) {
+        isRowTried = true;
+        lostHow = message === "closed" ? "closed" : "silent";
+      }
       log("linkNotOpened", { vm: value.vm, epoch: value.epoch, message });
     }
   }
@@ -237,10 +238,11 @@
     const beatAgeMs = beat ? scan.atMs - beat.storeMs : undefined;
     const decision = decideTakeover({
       how: lostHow,
-      lostForMs: readMonotonicMs() - lostMs,
+      lostForMs: slot.computeLostMs(),
       beatAgeMs,
       rank,
       isDraining: options.readReport().isDraining,
+      isNew: readMonotonicMs() - holderKnownMs < NEW_MS,
     });
     const { epoch } = row.value;
     log("takeoverWeighed", {
@@ -291,10 +293,16 @@
         if (share >= SUPERSEDED_SHARE && host) reviewSuperseded();
       },
       vms: vms.filter((vm) => vm.name !== name),
+      hasKeptJobs,
+      readRoleRevision,
     });
     attachToHost(host);
   }
 
+  function readRoleRevision(): number {
+    return row?.revision ?? 0;
+  }
+
   /** Most endpoints obey another: either the row says who, or this VM is cut off from the store. */
   async function reviewSuperseded(): Promise<void> {
     if (isReviewing) return;
@@ -321,6 +329,8 @@
       soloAmong: vms,
       superseded: () => {},
       vms: [],
+      hasKeptJobs,
+      readRoleRevision,
     });
     attachToHost(solo);
   }
@@ -329,7 +339,7 @@
     if (!solo) return;
     solo.stop();
     solo = undefined;
-    dropLink("soloEnded");
+    slot.drop("soloEnded");
   }
 
   async function act(): Promise<void> {
@@ -343,12 +353,15 @@
       isAsked = false;
       return;
     }
-    if (link && !solo && !isSuperseded()) return;
+    const isLinked = slot.find() !== undefined;
+    if (isLinked && !solo && !isSuperseded()) return;
     const isOther = row !== undefined && row.value.vm !== name;
     // Weighed while a link is being tried, which may take long. A former holder that the store turns away asks others.
     if (row && (isOther || watcher.isLost())) void attach(row.value);
-    if (isOther && (link && !solo || !isRowTried)) return;
-    if (await canTakeOver() && !isStopped && (!link || solo)) await takeOver();
+    if (isOther && (slot.find() && !solo || !isRowTried)) return;
+    if (await canTakeOver() && !isStopped && (!slot.find() || solo)) {
+      await takeOver();
+    }
   }
 
   async function run(): Promise<void> {
@@ -360,28 +373,29 @@
         log("takeoverFailed", { message: readError(thrown).message });
         isAsked = false;
       }
-      await waitMs(link && !solo ? LOOK_MS : AGAIN_MS);
+      await waitMs(slot.find() && !solo ? LOOK_MS : AGAIN_MS);
     }
   }
   run();
 
   /** Apart from the attempts at linking, as those wait for a store or a peer that may be silent. */
   const soloTimer = setInterval(() => {
-    const limitMs = wasLinked ? SOLO_MS : FIRST_SOLO_MS;
-    const isLost = !link && readMonotonicMs() - lostMs > limitMs;
+    const limitMs = slot.hasEverBeenLinked() ? SOLO_MS : FIRST_SOLO_MS;
+    const isLost = !slot.find() && slot.computeLostMs() > limitMs;
     if (isLost && !isStopped) beginSolo();
   }, AGAIN_MS);
 
   return {
     findHost: () => host,
     findRow: () => row?.value,
+    countPending: (route) => pending[route] ?? 0,
     stop: () => {
       isStopped = true;
       clearInterval(soloTimer);
       watcher.stop();
       host?.stop();
       solo?.stop();
-      link?.close();
+      slot.find()?.close();
     },
   };
 }
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -35,7 +35,8 @@
       if (known && known.epoch > epoch) return;
       revision = scan.rows[0]?.revision ?? 0;
     }
-    const value: BeatRow = { epoch, storeMs: readMonotonicMs() + offsetMs };
+    const beganMs = readMonotonicMs();
+    const value: BeatRow = { epoch, storeMs: beganMs + offsetMs };
     const key = ROW_KEYS.beat;
     const result = await table.transact([
       revision === 0
@@ -48,6 +49,7 @@
     }
     revision = result.revision;
     writtenMs = readMonotonicMs();
+    host.confirmRole(beganMs);
   }
 
   async function renewBeat(): Promise<void> {
--- a/src/vm/running_vm.ts
+++ b/src/vm/running_vm.ts
@@ -1,4 +1,6 @@
 import type { JobOrder } from "../scheduler/job_order.ts";
+import type { StoreOutcome } from "../kept/store_outcome.ts";
+import type { JobState } from "../kept/job_state.ts";
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
 
 /** A VM's process as its callers' side uses it. */
@@ -7,6 +9,14 @@
   submit(order: JobOrder, answer: (outcome: JobOutcome) => void): () => void;
   /** Cancels an open job; false when there is none of that id here. */
   cancel(jobId: string): boolean;
+  /** Stores a job that is run whoever waits for it. */
+  store(order: JobOrder): Promise<StoreOutcome>;
+  /** Reads the state of a stored job; undefined when there is none of that id. Rejects while the store does not answer. */
+  readState(jobId: string): Promise<JobState | undefined>;
+  /** Asks for a stored job to be cancelled; false when there is none of that id. Rejects while the store does not answer. */
+  cancelStored(jobId: string): Promise<boolean>;
+  /** Stored jobs of a route of which no task has begun, as last heard from the scheduler. */
+  countPending(route: string): number;
   /** Whether new connections should come here. */
   isReady(): boolean;
   isDraining(): boolean;
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -14,6 +14,8 @@
   listReturned(): Set<string>;
   /** Goes on under a later epoch, and takes those endpoints back. */
   beginEpoch(epoch: number): void;
+  /** A beat that was begun then has been written: no other can have taken the role before it is stale. In ms. */
+  confirmRole(beatMs: number): void;
   /** Gives up at once: starts nothing more. */
   stop(): void;
 };
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -4,13 +4,16 @@
 import { computeToken } from "./compute_token.ts";
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
 import type { Effect } from "../scheduler/effect.ts";
+import { hasStoredJobs } from "../scheduler/has_stored_jobs.ts";
 import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
 import { loseVm } from "../scheduler/lose_vm.ts";
 import { takeBackEndpoints } from "../scheduler/take_back_endpoints.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
+import { countPending } from "../scheduler/count_pending.ts";
 import { submitJob } from "../scheduler/submit_job.ts";
 import { takeEffects } from "../scheduler/take_effects.ts";
 import { updateEndpoints } from "../scheduler/update_endpoints.ts";
+import { keepStoredJobs } from "../kept/keep_stored_jobs.ts";
 import { readError } from "../errors/read_error.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
@@ -32,6 +35,8 @@
 const LOST_VM_MS = 15_000;
 /** How often each VM hears from the scheduler, in ms. */
 const BEAT_MS = 100;
+/** For this long after a beat no other can have taken the role, in ms: less than the age at which a beat is stale. */
+const ROLE_MS = 280;
 /** A list that lost entries while the store was away is trusted again after this, in ms. */
 const LIST_SETTLE_MS = 2_500;
 
@@ -49,6 +54,12 @@
   /** The VMs known when this process began. */
   vms: LinkedVm[];
   configurationVersion: () => number;
+  /** Whether there were stored jobs when this VM last heard of a scheduler. */
+  hasKeptJobs: boolean;
+  /** Ids of the endpoints that this VM's last list had. */
+  knownEndpoints: string[];
+  /** Revision of the row that gives this process the role. */
+  readRoleRevision: () => number;
 }): SchedulerHost {
   const { settings, ports, log, isSolo } = options;
   let { epoch } = options;
@@ -56,7 +67,12 @@
     limits: settings.limits,
     nowMs: readMonotonicMs(),
     isSolo,
+    hasKeptJobs: options.hasKeptJobs,
+    // A VM that serves alone leaves stored jobs to the scheduler.
+    areKeptJobsRead: isSolo,
+    knownEndpoints: options.knownEndpoints,
   });
+  if (!isSolo) state.roleCertainUntilMs = readMonotonicMs() + ROLE_MS;
   const links = new Map<string, { events: LinkEvents; report?: VmReport }>();
   const lostVms = new Map(
     options.vms.map(({ name, dataCentre }) => [
@@ -216,18 +232,47 @@
   }
 
   function sendBeat(): void {
-    const successors = listVms();
-    const configurationVersion = options.configurationVersion();
-    for (const { events } of links.values()) {
-      events.status({ epoch, successors, configurationVersion });
-    }
+    const status = {
+      epoch,
+      successors: listVms(),
+      configurationVersion: options.configurationVersion(),
+      hasKeptJobs: hasStoredJobs(state),
+      pending: state.hasKeptJobs ? countPending(state) : {},
+    };
+    for (const { events } of links.values()) events.status(status);
   }
 
-  const ticker = setInterval(
-    () => act((nowMs) => advanceScheduler(state, nowMs)),
-    TICK_MS,
-  );
+  /** Where no VM reaches the store, none can take the role. */
+  function canNobodyTakeOver(nowMs: number): boolean {
+    const isAnyLost = [...lostVms.values()].some(({ lostMs }) =>
+      nowMs - lostMs < LOST_VM_MS
+    );
+    const others = [...links].filter(([vm]) => vm !== settings.name);
+    return !isAnyLost && others.length > 0 &&
+      others.every(([, { report }]) => report?.isStoreReachable === false);
+  }
+
+  function advance(nowMs: number): void {
+    if (!isSolo && canNobodyTakeOver(nowMs)) confirmRole(nowMs);
+    advanceScheduler(state, nowMs);
+  }
+
+  function confirmRole(beatMs: number): void {
+    const untilMs = beatMs + ROLE_MS;
+    state.roleCertainUntilMs = Math.max(state.roleCertainUntilMs, untilMs);
+  }
+
+  const ticker = setInterval(() => act(advance), TICK_MS);
   const beater = setInterval(sendBeat, BEAT_MS);
+  const storedJobs = isSolo ? undefined : keepStoredJobs({
+    table: ports.table,
+    state,
+    act,
+    log,
+    readRoleRevision: options.readRoleRevision,
+    superseded: () => options.superseded(1),
+    keepEndsMs: settings.keepEndsMs,
+  });
   followEndpoints();
   log("schedulerBegan", { epoch, token: options.token, isSolo });
 
@@ -237,6 +282,7 @@
     },
     listReturned,
     beginEpoch,
+    confirmRole,
     attach,
     listSuccessors,
     resign,
@@ -245,6 +291,7 @@
       isStopped = true;
       clearInterval(ticker);
       clearInterval(beater);
+      storedJobs?.stop();
       sessions.close();
       for (const { events } of links.values()) events.left();
       log("schedulerEnded", { epoch, jobs: state.jobs.size });
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -1,5 +1,10 @@
 import type { JobOrder } from "../scheduler/job_order.ts";
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
+import { cancelStoredJob } from "../kept/cancel_stored_job.ts";
+import { createJobWriter } from "../kept/create_job_writer.ts";
+import type { StoreOutcome } from "../kept/store_outcome.ts";
+import { readJobState } from "../kept/read_job_state.ts";
+import { canEverFit } from "../scheduler/can_ever_fit.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import { computeShare } from "../decide/compute_share.ts";
@@ -50,6 +55,14 @@
     configurationVersion: options.configurationVersion(),
   });
   const endpoints = keepEndpoints(ports);
+  const writer = createJobWriter(ports.table);
+  function storeJob(order: JobOrder): Promise<StoreOutcome> {
+    if (!options.isStoreReachable()) return Promise.resolve("notStored");
+    const rows = endpoints.read();
+    const canFit = rows.length === 0 ||
+      order.steps.every((step) => canEverFit(rows, order.service, step));
+    return canFit ? writer.store(order) : Promise.resolve("neverFits");
+  }
   function readShare(
     rows: EndpointRow[],
     among: { name: string; dataCentre: string }[],
@@ -73,6 +86,7 @@
       startSchedulerHost({
         ...start,
         isSolo: soloAmong !== undefined,
+        knownEndpoints: soloAmong ? [] : endpoints.read().map(({ id }) => id),
         settings,
         ports: soloAmong
           ? {
@@ -91,12 +105,16 @@
     return !isDraining && nowMs - linkedMs < UNREADY_MS;
   }
 
+  function isIdle(): boolean {
+    return jobs.isEmpty() && writer.count() === 0;
+  }
+
   async function stopGracefully(): Promise<void> {
     isDraining = true;
     log("stopping", { jobs: jobs.count() });
     follower.findHost()?.resign("stop");
     const untilMs = readMonotonicMs() + settings.stopWithinMs;
-    while (!jobs.isEmpty() && readMonotonicMs() < untilMs) {
+    while (!isIdle() && readMonotonicMs() < untilMs) {
       await waitMs(LOOK_MS);
     }
     log("drained", { jobs: jobs.count() });
@@ -106,9 +124,13 @@
     submit: (order: JobOrder, answer: (outcome: JobOutcome) => void) =>
       jobs.submit(order, answer),
     cancel: jobs.cancel,
+    store: storeJob,
+    readState: (id) => readJobState(ports.table, id),
+    cancelStored: (id) => cancelStoredJob(ports.table, id),
+    countPending: follower.countPending,
     isReady,
     isDraining: () => isDraining,
-    isIdle: jobs.isEmpty,
+    isIdle,
     countOpen: jobs.count,
     drain: stopGracefully,
     stop: async () => {
--- a/src/vm/vm_settings.ts
+++ b/src/vm/vm_settings.ts
@@ -8,5 +8,7 @@
   peerAddress: string;
   /** A planned stop must be over by then, in ms. */
   stopWithinMs: number;
+  /** How long the end of a stored job is kept for its caller, in ms. */
+  keepEndsMs: number;
   limits: SchedulerLimits;
 };
--- a/stand_ins/node/start_store.ts
+++ b/stand_ins/node/start_store.ts
@@ -28,6 +28,8 @@
   state: { isClosed: boolean };
 };
 
+/** Entries that one transaction may have, of all lists together. */
+const MOST_ENTRIES = 100;
 /** How often a waiting feed looks for changes, in ms. */
 const LOOK_MS = 5;
 
@@ -58,6 +60,8 @@
       setKeys?: (Place & { value: string })[];
       remove?: Place[];
     };
+    const entries = expectedRev.length + setKeys.length + remove.length;
+    if (entries > MOST_ENTRIES) return { status: 400 };
     const wrong = expectedRev.filter((place) => {
       const row = rows.get(nameRow(place));
       const found = row && !row.deleted ? row.ver : 0;
@@ -82,6 +86,7 @@
     const found = [...rows.values()]
       .filter((row) => row.table === query.get("table") && !row.deleted)
       .filter((row) => row.key >= (query.get("from") ?? ""))
+      .filter((row) => row.key < (query.get("to") ?? "\uffff"))
       .sort((one, other) => (one.key < other.key ? -1 : 1));
     return {
       status: 200,
--- a/test/decide/succession_test.ts
+++ b/test/decide/succession_test.ts
@@ -12,6 +12,7 @@
   beatAgeMs: 100,
   rank: 0,
   isDraining: false,
+  isNew: false,
 } as const;
 
 describe("succession", () => {
@@ -23,6 +24,13 @@
     assert.equal(decideTakeover({ ...SEEN, beatAgeMs: 1_000 }), "takeOver");
   });
 
+  test("a scheduler that has just begun may be slow with its beats, unless its address refuses", () => {
+    const seen = { ...SEEN, isNew: true, beatAgeMs: 700 };
+    assert.equal(decideTakeover(seen), "wait");
+    assert.equal(decideTakeover({ ...seen, beatAgeMs: 1_000 }), "takeOver");
+    assert.equal(decideTakeover({ ...seen, how: "closed" }), "takeOver");
+  });
+
   test("VMs further down the order wait longer", () => {
     const seen = { ...SEEN, beatAgeMs: 500 };
     assert.equal(decideTakeover({ ...seen, rank: 0 }), "takeOver");
--- /dev/null
+++ b/test/kept/job_writer_test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { createJobWriter } from "../../src/kept/create_job_writer.ts";
+import { createMemoryTable } from "../fixtures/create_memory_table.ts";
+import { createOrder } from "../fixtures/create_scheduler_driver.ts";
+
+describe("storing accepted jobs", () => {
+  test("jobs that arrive while a write is on its way share the next", async () => {
+    const table = createMemoryTable();
+    const writer = createJobWriter(table);
+
+    const outcomes = await Promise.all(
+      ["a", "b", "c"].map((id) => writer.store(createOrder({ id }))),
+    );
+
+    assert.deepEqual(outcomes, ["stored", "stored", "stored"]);
+    assert.equal(table.sent.length, 2);
+  });
+
+  test("more jobs than one write may have are stored by several", async () => {
+    const table = createMemoryTable();
+    const writer = createJobWriter(table);
+
+    const outcomes = await Promise.all(
+      Array.from(
+        { length: 200 },
+        (_, index) => writer.store(createOrder({ id: `j${index}` })),
+      ),
+    );
+
+    assert.deepEqual(outcomes, Array(200).fill("stored"));
+  });
+
+  test("a job that is there already does not keep the others from being stored", async () => {
+    const table = createMemoryTable();
+    const writer = createJobWriter(table);
+    await writer.store(createOrder({ id: "b" }));
+
+    const outcomes = await Promise.all(
+      ["a", "b", "c"].map((id) => writer.store(createOrder({ id }))),
+    );
+
+    assert.deepEqual(outcomes, ["stored", "known", "stored"]);
+  });
+
+  test("a job that has ended is not stored again", async () => {
+    const table = createMemoryTable();
+    await table.transact([
+      { type: "insert", key: "chivegrade-ends/a", value: {} },
+    ]);
+
+    const outcome = await createJobWriter(table).store(
+      createOrder({ id: "a" }),
+    );
+
+    assert.equal(outcome, "known");
+    assert.equal(table.rows.has("chivegrade-jobs/a"), false);
+  });
+
+  test("a write that the store refuses is not stored", async () => {
+    const table = createMemoryTable();
+    table.faults.push("refused");
+
+    const outcome = await createJobWriter(table).store(
+      createOrder({ id: "a" }),
+    );
+
+    assert.equal(outcome, "notStored");
+  });
+
+  test("a write whose answer is lost is sent again and found there", async () => {
+    const table = createMemoryTable();
+    table.faults.push("lost");
+
+    const outcome = await createJobWriter(table).store(
+      createOrder({ id: "a" }),
+    );
+
+    assert.equal(outcome, "known");
+  });
+
+  test("a write that may have taken effect is never reported as not stored", async () => {
+    const table = createMemoryTable();
+    table.faults.push("lost", "refused", "refused", "refused", "refused");
+
+    const outcome = await createJobWriter(table).store(
+      createOrder({ id: "a", waitMs: 100 }),
+    );
+
+    assert.equal(outcome, "unknown");
+  });
+});
--- /dev/null
+++ b/test/platform/stored_jobs_test.ts
@@ -0,0 +1,272 @@
+import assert from "node:assert/strict";
+import { after, before, describe, test } from "node:test";
+import { callNode } from "../fixtures/call_node.ts";
+import { createId } from "../fixtures/create_id.ts";
+import { startNodes } from "../fixtures/start_nodes.ts";
+import { waitFor } from "../fixtures/wait_for.ts";
+
+type System = Awaited<ReturnType<typeof startNodes>>;
+
+/** A job that must be stored: a step, and one that waits for it. */
+const JOB = {
+  spec: "{}",
+  steps: [
+    { count: 3, cpu: 6_800, memMb: 64, estimateMs: 100 },
+    { count: 2, cpu: 6_800, memMb: 64, estimateMs: 100, after: [0] },
+  ],
+};
+/** All tasks of the job, with what a run takes here. */
+const TASKS = 5;
+
+function listRuns(system: System, id: string) {
+  return system.workers.flatMap(({ history }) => history)
+    .filter(({ task }) => task.startsWith(id));
+}
+
+async function readState(system: System, id: string): Promise<unknown> {
+  const reply = await callNode(system.nodes[0], {
+    method: "GET",
+    path: `/proofs/${id}`,
+  });
+  return (reply.body as { state?: string } | undefined)?.state ?? reply.status;
+}
+
+function submit(system: System, id: string, node = 0) {
+  return callNode(system.nodes[node], {
+    method: "POST",
+    path: `/proofs/${id}`,
+    body: JOB,
+  });
+}
+
+describe("jobs that are stored", () => {
+  let system: System;
+  before(async () => {
+    system = await startNodes({ nodes: 3, workers: 3, runMs: 100 });
+  });
+  after(() => system.stop());
+
+  test("one is accepted at once, runs step by step and is shown as completed at any node", async () => {
+    const id = createId(1);
+    const reply = await submit(system, id, 1);
+
+    assert.equal(reply.status, 200);
+    await waitFor(async () => await readState(system, id) === "completed");
+    const runs = listRuns(system, id);
+    assert.equal(runs.length, TASKS);
+    const firstEnds = runs.filter(({ task }) => task.startsWith(`${id}.0.0.`))
+      .map(({ endedMs }) => endedMs ?? Infinity);
+    const second = runs.filter(({ task }) => task.startsWith(`${id}.0.1.`));
+    assert.ok(second.every(({ beganMs }) => beganMs >= Math.max(...firstEnds)));
+  });
+
+  test("the same id at all nodes at once, and again when it has ended, is one job", async () => {
+    const id = createId(2);
+    const replies = await Promise.all(
+      system.nodes.map((_, index) => submit(system, id, index)),
+    );
+    await waitFor(async () => await readState(system, id) === "completed");
+    const late = await submit(system, id, 2);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+
+    assert.ok([...replies, late].every(({ status }) => status === 200));
+    assert.equal(listRuns(system, id).length, TASKS);
+    assert.equal(await readState(system, id), "completed");
+  });
+
+  test("one that nobody handed in is not known", async () => {
+    assert.equal(await readState(system, createId(3)), 410);
+  });
+
+  test("one that is cancelled at another node starts nothing more", async () => {
+    const id = createId(4);
+    await submit(system, id, 0);
+    const reply = await callNode(system.nodes[1], {
+      method: "DELETE",
+      path: `/proofs/${id}`,
+    });
+    assert.equal(reply.status, 200);
+    await waitFor(async () => await readState(system, id) === "cancelled");
+    // What crossed the cancel may have begun; its runs are stopped.
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    const before = listRuns(system, id);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+
+    assert.ok(before.length < TASKS);
+    assert.equal(listRuns(system, id).length, before.length);
+    assert.ok(before.every(({ endedMs }) => endedMs !== undefined));
+  });
+
+  test("one whose tasks fail is shown as failed when the attempts are used up", async () => {
+    const id = createId(5);
+    for (const { faults } of system.workers) faults.failsAll = true;
+    await submit(system, id);
+    await waitFor(async () => await readState(system, id) === "failed");
+    for (const { faults } of system.workers) faults.failsAll = false;
+
+    const runs = listRuns(system, id);
+    for (const { task } of runs) {
+      assert.ok(runs.filter((one) => one.task === task).length <= 2);
+    }
+  });
+
+  test("one that fits nowhere is refused", async () => {
+    const steps = [{ count: 1, cpu: 99_000, estimateMs: 100 }];
+    const reply = await callNode(system.nodes[0], {
+      method: "POST",
+      path: `/proofs/${createId(6)}`,
+      body: { spec: "{}", steps },
+    });
+
+    assert.equal(reply.status, 503);
+    assert.equal(await readState(system, createId(6)), 410);
+  });
+
+  test("the jobs that wait are counted, at any node", async () => {
+    for (const { faults } of system.workers) faults.isSilent = true;
+    const { logs } = system.findScheduler();
+    await waitFor(() =>
+      logs.filter(({ event }) => event === "endpointSilent").length >= 3
+    );
+    await submit(system, createId(7));
+    const readPending = async () => {
+      const reply = await callNode(system.nodes[2], {
+        method: "GET",
+        path: "/proofs/",
+      });
+      return (reply.body as { pending: number }).pending;
+    };
+
+    await waitFor(async () => await readPending() === 1);
+    for (const { faults } of system.workers) faults.isSilent = false;
+    await waitFor(async () => await readPending() === 0);
+  });
+});
+
+describe("stored jobs under failure", () => {
+  test("power lost everywhere right after an accept costs no job and runs no task again that was done", async () => {
+    const system = await startNodes({ nodes: 3, workers: 3, runMs: 100 });
+    try {
+      const ids = Array.from({ length: 6 }, (_, index) => createId(index));
+      for (const id of ids) {
+        assert.equal((await submit(system, id)).status, 200);
+      }
+      await system.restartAll();
+
+      await waitFor(async () => {
+        const states = await Promise.all(ids.map(async (id) => {
+          try {
+            return await readState(system, id);
+          } catch {
+            // Not listening yet.
+            return undefined;
+          }
+        }));
+        return states.every((state) => state === "completed");
+      }, 15_000);
+      checkDoneOnce(system);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("a scheduler that is killed costs no job and runs no task again that was done", async () => {
+    const system = await startNodes({ nodes: 3, workers: 3, runMs: 100 });
+    try {
+      const scheduler = system.findScheduler();
+      const node = system.nodes.findIndex((one) => one !== scheduler);
+      const ids = Array.from({ length: 6 }, (_, index) => createId(index));
+      for (const id of ids) await submit(system, id, node);
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      scheduler.child.kill("SIGKILL");
+      const read = async (id: string) => {
+        const reply = await callNode(system.nodes[node], {
+          method: "GET",
+          path: `/proofs/${id}`,
+        });
+        return (reply.body as { state: string }).state;
+      };
+
+      await waitFor(async () => {
+        const states = await Promise.all(ids.map(read));
+        return states.every((state) => state === "completed");
+      }, 15_000);
+      checkDoneOnce(system);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("a scheduler that the store turns away is replaced, and no task runs again that was done", async () => {
+    const system = await startNodes({ nodes: 3, workers: 3, runMs: 700 });
+    try {
+      const scheduler = system.findScheduler();
+      const node = system.nodes.findIndex((one) => one !== scheduler);
+      const ids = Array.from({ length: 4 }, (_, index) => createId(index));
+      for (const id of ids) await submit(system, id, node);
+      scheduler.storeDoor.isClosed = true;
+
+      await waitFor(async () => {
+        const states = await Promise.all(ids.map(async (id) => {
+          const path = `/proofs/${id}`;
+          const reply = await callNode(system.nodes[node], {
+            method: "GET",
+            path,
+          });
+          return (reply.body as { state: string }).state;
+        }));
+        return states.every((state) => state === "completed");
+      }, 20_000);
+      checkDoneOnce(system);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("while the store is away, stored jobs are refused at once as not run", async () => {
+    const system = await startNodes({ nodes: 2, workers: 2, runMs: 50 });
+    try {
+      system.store.faults.status = 503;
+      const reply = await submit(system, createId(1));
+      system.store.faults.status = undefined;
+
+      assert.equal(reply.status, 503);
+      assert.ok(Number(reply.headers["retry-after"]) >= 1);
+      assert.equal(await readState(system, createId(1)), 410);
+    } finally {
+      await system.stop();
+    }
+  });
+
+  test("writes of the store whose answers are lost cost no job and run nothing twice", async () => {
+    const system = await startNodes({ nodes: 2, workers: 2, runMs: 50 });
+    try {
+      system.store.faults.losesAnswers = true;
+      const waiting = submit(system, createId(1));
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      system.store.faults.losesAnswers = false;
+
+      assert.equal((await waiting).status, 200);
+      await waitFor(
+        async () => await readState(system, createId(1)) === "completed",
+        15_000,
+      );
+      checkDoneOnce(system);
+    } finally {
+      await system.stop();
+    }
+  });
+});
+
+/** A task that was done has no run that began later, and no two of its runs overlap. */
+function checkDoneOnce(system: System): void {
+  const runs = system.workers.flatMap(({ history }) => history);
+  for (const one of runs) {
+    for (const other of runs) {
+      if (one === other || one.task !== other.task) continue;
+      if (other.beganMs < one.beganMs) continue;
+      assert.ok((one.endedMs ?? Infinity) <= other.beganMs, one.task);
+      assert.notEqual(one.how, "done", `${one.task} ran again`);
+    }
+  }
+}
--- /dev/null
+++ b/test/scheduler/stored_jobs_test.ts
@@ -0,0 +1,330 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { hasStoredJobs } from "../../src/scheduler/has_stored_jobs.ts";
+import { loseVm } from "../../src/scheduler/lose_vm.ts";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+
+describe("stored jobs at the scheduler", () => {
+  test("an end is listed by its endpoint until the store knows of it", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j", steps: [createStep(2)] });
+
+    driver.end(driver.starts[0], "done", 1);
+    assert.equal(driver.readAcknowledged("e1"), 0);
+
+    driver.confirmSaved();
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
+  test("ends of other jobs behind one that is not stored wait for it", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j" });
+    driver.submit({ id: "k" });
+
+    driver.end(driver.starts[1], "done", 1);
+    driver.end(driver.starts[0], "done", 2);
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
+  test("nothing is forgotten before the stored jobs have been read", () => {
+    const driver = createSchedulerDriver({
+      token: 200,
+      areKeptJobsRead: false,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 100_001, how: "done" }],
+    });
+    assert.equal(driver.readAcknowledged("e1"), 0);
+
+    driver.submitStored({ id: "j" }, { mayHaveRun: true });
+    driver.state.areKeptJobsRead = true;
+    assert.equal(driver.readAcknowledged("e1"), 0);
+    assert.equal(driver.starts.length, 0);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+
+    driver.confirmSaved();
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
+  test("runs that nobody has asked for are not stopped before the stored jobs have been read", () => {
+    const driver = createSchedulerDriver({
+      token: 200,
+      areKeptJobsRead: false,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      running: [{ task: "j.0.0.0", run: 100_001, progress: 0 }],
+    });
+    driver.advanceTo(1_000);
+
+    assert.equal(driver.stops.length, 0);
+  });
+
+  test("an end of a job not heard of is forgotten after a while", () => {
+    const driver = createSchedulerDriver({ token: 200, hasKeptJobs: true });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 100_001, how: "done" }],
+    });
+
+    assert.equal(driver.readAcknowledged("e1"), 0);
+    driver.advanceTo(2_100);
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
+  test("a VM that serves alone lets endpoints forget no end of a run it does not know while their lease lasts", () => {
+    const driver = createSchedulerDriver({
+      token: 201,
+      isSolo: true,
+      hasKeptJobs: true,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 200_001, how: "done" }],
+    });
+    driver.advanceTo(1_000);
+
+    assert.equal(driver.readAcknowledged("e1"), 0);
+  });
+
+  test("what an earlier scheduler has stored as done is not run again", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+
+    driver.submitStored({ id: "j", steps: [createStep(2)] }, {
+      progress: { done: [true, false], failures: [] },
+      mayHaveRun: true,
+    });
+    driver.advanceTo(20);
+
+    assert.deepEqual(driver.starts.map(({ task }) => task.name), ["j.0.0.1"]);
+  });
+
+  test("failures under an earlier scheduler count, each once", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [
+        { number: 1, task: "j.0.0.0", run: 100_001, how: "failed" },
+        { number: 2, task: "j.0.0.0", run: 100_002, how: "failed" },
+      ],
+    });
+
+    driver.submitStored({ id: "j", maxAttempts: 3 }, {
+      progress: {
+        done: [false],
+        failures: [{ task: 0, count: 1, run: 100_001 }],
+      },
+      mayHaveRun: true,
+    });
+
+    const [task] = driver.state.jobs.get("j")?.tasks ?? [];
+    assert.equal(task.failures, 2);
+    assert.equal(driver.outcomes.has("j"), false);
+  });
+
+  test("attempts that an earlier scheduler used up end the job as failed", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+
+    driver.submitStored({ id: "j", maxAttempts: 2 }, {
+      progress: {
+        done: [false],
+        failures: [{ task: 0, count: 2, run: 100_009 }],
+      },
+      mayHaveRun: true,
+    });
+
+    assert.equal(driver.starts.length, 0);
+    assert.deepEqual(driver.outcomes.get("j"), {
+      type: "failed",
+      reason: "attemptsUsed",
+    });
+  });
+
+  test("a job that an earlier scheduler may have begun waits until every endpoint has told what it runs", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.addEndpoint("e2");
+
+    driver.submitStored({ id: "j" }, { mayHaveRun: true });
+    driver.advanceTo(100);
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e2");
+    driver.advanceTo(120);
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a task whose start was not answered runs elsewhere only when a listing after its stop lacks its end", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j" });
+    const [first] = driver.starts;
+    driver.reply(first, { type: "unanswered" });
+    driver.confirmStop(first);
+    driver.advanceTo(200);
+    assert.equal(driver.starts.length, 1);
+
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: first.run, how: "done" }],
+    });
+    driver.advanceTo(400);
+    assert.equal(driver.starts.length, 1);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("the end of an older run counts: the later one is stopped", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.submitStored({ id: "j" });
+    const [start] = driver.starts;
+    const other = start.endpointId === "e1" ? "e2" : "e1";
+
+    driver.list(other, {
+      ended: [{ number: 1, task: "j.0.0.0", run: 7, how: "done" }],
+    });
+
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+    assert.deepEqual(driver.stops.map(({ run }) => run), [start.run]);
+  });
+
+  test("a task whose older run was done counts once, also when the later run is done as well", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    const steps = [createStep(1), createStep(1, { after: [0] })];
+    driver.submitStored({ id: "j", steps });
+    const [start] = driver.starts;
+    const other = start.endpointId === "e1" ? "e2" : "e1";
+
+    driver.list(other, {
+      ended: [{ number: 1, task: "j.0.0.0", run: 7, how: "done" }],
+    });
+    driver.end(start, "done", 1);
+
+    assert.equal(driver.outcomes.has("j"), false);
+    assert.equal(driver.state.jobs.get("j")?.openCount, 1);
+  });
+
+  test("nothing of a job is started while another process may be the scheduler", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.state.roleCertainUntilMs = 100;
+    driver.advanceTo(200);
+    driver.submitStored({ id: "j" });
+    driver.submit({ id: "k" });
+    assert.deepEqual(driver.starts.map(({ task }) => task.name), ["k.0.0.0"]);
+
+    driver.state.roleCertainUntilMs = 1_000;
+    driver.advanceTo(220);
+    assert.equal(driver.starts.length, 2);
+  });
+
+  test("a lease ends where a job's runs are before another scheduler may start them again", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.submitStored({ id: "j" });
+    const [{ endpointId }] = driver.starts;
+    const other = endpointId === "e1" ? "e2" : "e1";
+    driver.state.roleCertainUntilMs = 100;
+
+    driver.advanceTo(1_050);
+    assert.notEqual(driver.readLease(endpointId), undefined);
+    driver.advanceTo(1_150);
+    assert.equal(driver.readLease(endpointId), undefined);
+    assert.notEqual(driver.readLease(other), undefined);
+
+    driver.advanceTo(2_400);
+    assert.notEqual(driver.readLease(endpointId), undefined);
+  });
+
+  test("there may be stored jobs until they have been read", () => {
+    const unread = { hasKeptJobs: false, areKeptJobsRead: false };
+
+    assert.ok(hasStoredJobs(unread));
+    assert.ok(!hasStoredJobs({ ...unread, areKeptJobsRead: true }));
+  });
+
+  test("a VM that serves alone lets the lease end where a run that it does not know has ended", () => {
+    const driver = createSchedulerDriver({
+      token: 201,
+      isSolo: true,
+      hasKeptJobs: true,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 200_001, how: "done" }],
+    });
+    driver.submit({ id: "k" });
+    assert.equal(driver.starts.length, 0);
+    assert.equal(driver.readLease("e1"), undefined);
+
+    driver.advanceTo(1_200);
+    assert.equal(driver.starts.length, 1);
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
+  test("an endpoint that was listed before the takeover and is not now may still run a task", () => {
+    const driver = createSchedulerDriver({
+      token: 200,
+      knownEndpoints: ["e1", "e2"],
+    });
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j" }, { mayHaveRun: true });
+    driver.advanceTo(1_000);
+    assert.equal(driver.starts.length, 0);
+
+    driver.advanceTo(2_600);
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a job that is late, and one whose VM is lost, is run to its end", () => {
+    const driver = createSchedulerDriver();
+    driver.submitStored({ id: "j" });
+    driver.advanceTo(60_000);
+    loseVm(driver.state, "vm-1", { how: "closed", nowMs: 60_000 });
+    driver.advanceTo(70_000);
+    assert.equal(driver.outcomes.size, 0);
+
+    driver.addIdleEndpoint("e1");
+    driver.advanceTo(70_020);
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a job that is cancelled starts nothing more and stops what runs", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j", steps: [createStep(3)] });
+    const started = driver.starts.length;
+
+    driver.cancel("j");
+    driver.advanceTo(1_000);
+
+    assert.equal(driver.starts.length, started);
+    assert.equal(driver.stops.length, started);
+    assert.deepEqual(driver.outcomes.get("j"), {
+      type: "failed",
+      reason: "cancelled",
+    });
+  });
+
+  test("an endpoint that began anew lists its ends from the first", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j", steps: [createStep(2)] });
+    driver.end(driver.starts[0], "done", 1);
+    driver.list("e1", { bornMs: 2 });
+
+    assert.equal(driver.readAcknowledged("e1"), 0);
+    assert.equal(driver.state.endpoints.get("e1")?.unsettled.size, 0);
+  });
+});
--- a/test/scheduler/uncertain_runs_test.ts
+++ b/test/scheduler/uncertain_runs_test.ts
@@ -59,7 +59,9 @@
     const driver = createSchedulerDriver();
     driver.addIdleEndpoint("e1");
     driver.submit({ id: "j" });
+    driver.advanceTo(10);
     driver.reply(driver.starts[0], { type: "accepted" });
+    driver.advanceTo(20);
 
     driver.list("e1", { bornMs: 2 });
 
@@ -67,6 +69,36 @@
     assert.ok(driver.starts[1].run > driver.starts[0].run);
   });
 
+  test("a start that is on its way when its endpoint begins anew is not taken as over", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.addIdleEndpoint("e2");
+    driver.submit({ id: "j" });
+    const [start] = driver.starts;
+
+    driver.list(start.endpointId, { bornMs: 2 });
+    driver.advanceTo(20);
+    assert.equal(driver.starts.length, 1);
+
+    driver.reply(start, { type: "accepted" });
+    driver.end(start, "done", 1);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
+  test("runs of an endpoint that began anew and fell silent are over when the lease on its new clock is", () => {
+    const driver = createSchedulerDriver();
+    driver.advanceTo(5_000);
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "i" });
+    driver.reply(driver.starts[0], { type: "accepted" });
+    driver.advanceTo(5_100);
+    driver.list("e1", { bornMs: 2, clockMs: 10 });
+    driver.silence("e1");
+    driver.advanceTo(6_400);
+
+    assert.equal(driver.state.endpoints.get("e1")?.runs.size, 0);
+  });
+
   test("a run that a listing from before its start lacks is not taken as missing", () => {
     const driver = createSchedulerDriver();
     driver.addIdleEndpoint("e1");
--- /dev/null
+++ b/test/scheduler_fuzz/fault.ts
@@ -0,0 +1,29 @@
+/** A trouble of a history; times in ms, `endpoint` is a position. */
+export type Fault = {
+  atMs: number;
+  forMs: number;
+  endpoint: number;
+  kind:
+    /** Nothing gets through between the endpoint and the present scheduler. */
+    | "cut"
+    /** Orders get through, answers are lost. */
+    | "mute"
+    /** Orders are carried out late. */
+    | "late"
+    /** The endpoint's process ends, and another begins at the end of the trouble: longer than the pause between two listings. */
+    | "rebirth"
+    /** The endpoint leaves the store's list and comes back. */
+    | "unlisted"
+    /** Every run fails. */
+    | "failing"
+    /** Runs stand still. */
+    | "hang"
+    /** Another scheduler takes over; the present one goes on, unaware, until the fault is over. */
+    | "takeover"
+    /** The same, and the endpoint is reached by the lost scheduler alone, which reaches no other. */
+    | "zoneCut"
+    /** All schedulers and VMs lose power; another scheduler begins. */
+    | "powerLoss"
+    /** A client cancels the newest stored job. */
+    | "cancel";
+};
--- /dev/null
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -0,0 +1,380 @@
+import { decodeProgress } from "../../src/kept/decode_progress.ts";
+import { encodeProgress } from "../../src/kept/encode_progress.ts";
+import type { KeptProgressRow } from "../../src/kept/kept_progress_row.ts";
+import { cancelJob } from "../../src/scheduler/cancel_job.ts";
+import type { Effect } from "../../src/scheduler/effect.ts";
+import type { JobOrder } from "../../src/scheduler/job_order.ts";
+import type { JobOutcome } from "../../src/scheduler/job_outcome.ts";
+import { loseVm } from "../../src/scheduler/lose_vm.ts";
+import { parseTaskName } from "../../src/scheduler/parse_task_name.ts";
+import { settleEnds } from "../../src/scheduler/settle_ends.ts";
+import { submitJob } from "../../src/scheduler/submit_job.ts";
+import { submitStoredJob } from "../../src/scheduler/submit_stored_job.ts";
+import { BinaryHeap } from "../../src/utils/binary_heap.ts";
+import { createRandom } from "../../src/utils/create_random.ts";
+import {
+  createOrder,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+import type { Fault } from "./fault.ts";
+import { FuzzEndpoint } from "./fuzz_endpoint.ts";
+import { FuzzHost } from "./fuzz_host.ts";
+import type { FuzzWorld, Way } from "./fuzz_host.ts";
+import { Oracle } from "./oracle.ts";
+
+const ENDPOINTS = 4;
+const JOBS = 24;
+const ATTEMPTS = 3;
+/** Jobs arrive, and troubles begin, until then, in ms. */
+const BUSY_MS = 10_000;
+/** Everything must have ended by then, in ms: long after the last trouble. */
+const END_MS = 45_000;
+const WAY_MS = 1.5;
+const STORE_MS = 5;
+const SAVE_MS = 20;
+const OVERLAP_MS = 3_000;
+/** From the loss of a scheduler until the next begins, until VMs hand in their jobs, and until the lost one knows, in ms. */
+const TAKEOVER_MS = 500;
+const HAND_MS = 40;
+const FORGET_VM_MS = 600;
+const RESTART_MS = 1_000;
+
+type OpenJob = {
+  order: JobOrder;
+  placed: Map<string, string>;
+  done: Set<string>;
+  isHanded: boolean;
+};
+type StoredJob = {
+  order: JobOrder;
+  progress?: KeptProgressRow;
+  isCancelled: boolean;
+  end?: JobOutcome;
+};
+
+/** Plays jobs under troubles against the scheduler's decisions in virtual time; returns what was broken. */
+export function runSchedulerHistory(
+  faults: Fault[],
+  seed: number,
+): { violations: string[]; ended: Record<string, number> } {
+  const random = createRandom(seed);
+  const events = new BinaryHeap<() => void>();
+  const stored = new Map<string, StoredJob>();
+  const open = new Map<string, OpenJob>();
+  const outcomes = new Map<string, JobOutcome>();
+  const active = new Set<Fault>();
+  const oracle = new Oracle({
+    isKept: (task) => stored.has(parseTaskName(task)?.jobId ?? ""),
+    mostAttempts: ATTEMPTS,
+  });
+  const endpoints = Array.from(
+    { length: ENDPOINTS },
+    (_, index) =>
+      new FuzzEndpoint(`e${index}`, { oracle, rate: 1 - 0.006 * index }),
+  );
+  let nowMs = 0;
+  let epoch = 0;
+  let current: FuzzHost | undefined;
+
+  function later(afterMs: number, run: () => void): void {
+    const atMs = nowMs + afterMs;
+    events.push(() => {
+      nowMs = atMs;
+      run();
+    }, atMs);
+  }
+
+  function isFaulty(kind: Fault["kind"], endpoint: FuzzEndpoint): boolean {
+    return [...active].some((fault) =>
+      fault.kind === kind && endpoints[fault.endpoint] === endpoint
+    );
+  }
+
+  function findWay(host: FuzzHost, endpoint: FuzzEndpoint): Way {
+    const isCut = [...active].some((fault) =>
+      fault.kind === "cut" && endpoints[fault.endpoint] === endpoint &&
+      cutHosts.get(fault) === host
+    );
+    const isApart = [...active].some((fault) =>
+      fault.kind === "zoneCut" && cutHosts.has(fault) &&
+      (cutHosts.get(fault) === host) !==
+        (endpoints[fault.endpoint] === endpoint)
+    );
+    if (isApart) return {};
+    if (isCut || isFaulty("rebirth", endpoint)) return {};
+    const thereMs = WAY_MS + random();
+    if (isFaulty("late", endpoint)) {
+      return { thereMs: thereMs + random() * 3_000 };
+    }
+    if (isFaulty("mute", endpoint)) return { thereMs };
+    return { thereMs, backMs: WAY_MS + random() };
+  }
+
+  const cutHosts = new Map<Fault, FuzzHost | undefined>();
+
+  function told(host: FuzzHost, effect: Effect): void {
+    if (host !== current) return;
+    if (effect.type === "tellPlaced") {
+      findOpen(effect.task)?.placed.set(effect.task, effect.endpointId);
+    } else if (effect.type === "tellDone") {
+      findOpen(effect.task)?.done.add(effect.task);
+    } else if (effect.type === "tellEnded" && open.delete(effect.jobId)) {
+      outcomes.set(effect.jobId, effect.outcome);
+      checkOutcome(effect.jobId, effect.outcome);
+    }
+  }
+
+  function findOpen(task: string): OpenJob | undefined {
+    return open.get(parseTaskName(task)?.jobId ?? "");
+  }
+
+  function checkOutcome(id: string, outcome: JobOutcome): void {
+    if (outcome.type === "refused" && oracle.hasStarted(id)) {
+      oracle.violations.push(`${nowMs}: ${id} refused though it had begun`);
+    }
+  }
+
+  const world: FuzzWorld = {
+    endpoints,
+    readNow: () => nowMs,
+    later,
+    findWay,
+    told,
+    hasRole: (host) => host === current,
+    readWorkMs: () => 30 + random() * 400,
+    listRows: () =>
+      endpoints.filter((endpoint) => !isFaulty("unlisted", endpoint))
+        .map(({ id }) => ({
+          id,
+          address: "fuzz",
+          service: "layout",
+          dataCentre: "a",
+          labels: [],
+          room: { cpu: 16_000, memoryMb: 64_000, gpus: 0 },
+          isDraining: false,
+        })),
+  };
+
+  function beginHost(): void {
+    epoch += 1;
+    const host = new FuzzHost(world, epoch * 100);
+    current = host;
+    later(HAND_MS, () => {
+      for (const job of open.values()) hand(host, job);
+    });
+    later(STORE_MS + random() * 200, () => readStored(host));
+    later(SAVE_MS, () => save(host));
+  }
+
+  function hand(host: FuzzHost, job: OpenJob): void {
+    if (host !== current) return;
+    const progress = {
+      isResubmitted: job.isHanded,
+      wasSolo: false,
+      done: [...job.done],
+      placed: [...job.placed].map(([task, endpointId]) => ({
+        task,
+        endpointId,
+      })),
+    };
+    job.isHanded = true;
+    host.act((atMs) =>
+      submitJob(host.state, job.order, { vm: "vm", nowMs: atMs, progress })
+    );
+  }
+
+  function readStored(host: FuzzHost): void {
+    if (host !== current) return;
+    for (const job of stored.values()) {
+      if (!job.end) takeStored(host, { job, mayHaveRun: true });
+    }
+    host.state.areKeptJobsRead = true;
+  }
+
+  function takeStored(
+    host: FuzzHost,
+    found: { job: StoredJob; mayHaveRun: boolean },
+  ): void {
+    const { job, mayHaveRun } = found;
+    const { order, progress } = job;
+    host.act((atMs) => {
+      submitStoredJob(host.state, order, {
+        nowMs: atMs,
+        mayHaveRun,
+        progress: progress && decodeProgress(progress, order),
+      });
+      if (job.isCancelled) cancelJob(host.state, order.id, atMs);
+    });
+  }
+
+  /** The store takes a write only from the holder of the role. */
+  function save(host: FuzzHost): void {
+    if (!host.isAlive) return;
+    const { state } = host;
+    const jobs = state.areKeptJobsRead ? [...state.unsaved] : [];
+    state.unsaved.clear();
+    const saves = jobs.map((job) => {
+      const marks = job.unsettled;
+      job.unsettled = [];
+      return {
+        job,
+        marks,
+        end: job.outcome,
+        progress: encodeProgress(job),
+      };
+    });
+    later(STORE_MS, () => {
+      if (!host.isAlive) return;
+      // A host that was replaced no longer reaches the store.
+      if (host !== current) {
+        for (const { job, marks } of saves) {
+          state.unsaved.add(job);
+          job.unsettled.push(...marks);
+        }
+        saves.length = 0;
+      }
+      for (const { job, marks, end, progress } of saves) {
+        const row = stored.get(job.order.id) as StoredJob;
+        row.progress = progress;
+        row.end ??= end;
+        settleEnds(state, marks);
+      }
+      later(SAVE_MS, () => save(host));
+    });
+  }
+
+  function loseHost(host: FuzzHost, forMs: number): void {
+    // Its links are cut; it goes on with what it has until it notices.
+    current = undefined;
+    later(FORGET_VM_MS, () => {
+      host.act((atMs) =>
+        loseVm(host.state, "vm", { how: "silent", nowMs: atMs })
+      );
+    });
+    later(forMs, () => {
+      host.isAlive = false;
+    });
+    later(TAKEOVER_MS, () => {
+      if (!current) beginHost();
+    });
+  }
+
+  function losePower(host: FuzzHost): void {
+    host.isAlive = false;
+    current = undefined;
+    open.clear();
+    later(RESTART_MS, () => {
+      if (!current) beginHost();
+    });
+  }
+
+  function cancelNewest(): void {
+    const job = [...stored.values()].filter(({ end }) => !end).at(-1);
+    if (!job) return;
+    job.isCancelled = true;
+    later(STORE_MS, () => {
+      current?.act((atMs) =>
+        cancelJob((current as FuzzHost).state, job.order.id, atMs)
+      );
+    });
+  }
+
+  function beginFault(fault: Fault): void {
+    const endpoint = endpoints[fault.endpoint];
+    if (fault.kind === "takeover") {
+      if (current) loseHost(current, fault.forMs);
+      return;
+    }
+    if (fault.kind === "powerLoss") {
+      if (current) losePower(current);
+      return;
+    }
+    if (fault.kind === "cancel") return cancelNewest();
+    if (fault.kind === "rebirth") endpoint.beginAnew(nowMs);
+    if (fault.kind === "zoneCut") {
+      if (!current) return;
+      cutHosts.set(fault, current);
+      loseHost(current, fault.forMs);
+    }
+    if (fault.kind === "cut") cutHosts.set(fault, current);
+    if (fault.kind === "failing") endpoint.isFailing = true;
+    if (fault.kind === "hang") endpoint.isHanging = true;
+    active.add(fault);
+    later(fault.forMs, () => {
+      active.delete(fault);
+      endpoint.isFailing = isFaulty("failing", endpoint);
+      endpoint.isHanging = isFaulty("hang", endpoint);
+    });
+  }
+
+  function submit(index: number): void {
+    const id = `job${index}`;
+    const steps = index % 3 === 0
+      ? [createStep(2, { estimateMs: 200 }), createStep(1, { after: [0] })]
+      : [createStep(1 + index % 4, { estimateMs: 200 })];
+    const order = createOrder({ id, steps, maxAttempts: ATTEMPTS, stretch: 8 });
+    if (index % 2 === 0) {
+      const job = {
+        order,
+        placed: new Map(),
+        done: new Set<string>(),
+        isHanded: false,
+      };
+      open.set(id, job);
+      if (current) hand(current, job);
+      return;
+    }
+    const job = { order: { ...order, isKept: true }, isCancelled: false };
+    stored.set(id, job);
+    later(STORE_MS, () => {
+      if (!current) return;
+      const mayHaveRun = nowMs - current.state.beganMs < OVERLAP_MS;
+      takeStored(current, { job, mayHaveRun });
+    });
+  }
+
+  function advanceEndpoints(): void {
+    for (const endpoint of endpoints) endpoint.advance(nowMs);
+    later(5, advanceEndpoints);
+  }
+
+  beginHost();
+  advanceEndpoints();
+  for (let index = 0; index < JOBS; index += 1) {
+    later(500 + random() * BUSY_MS, () => submit(index));
+  }
+  for (const fault of faults) later(fault.atMs, () => beginFault(fault));
+  while (nowMs < END_MS) events.pop()?.();
+
+  const ended: Record<string, number> = {};
+  for (const { type } of outcomes.values()) {
+    ended[type] = (ended[type] ?? 0) + 1;
+  }
+  const violations = oracle.review();
+  for (const id of open.keys()) violations.push(`${id} was never answered`);
+  for (const { order, end, isCancelled } of stored.values()) {
+    const how = end?.type ?? "none";
+    ended[`stored ${how}`] = (ended[`stored ${how}`] ?? 0) + 1;
+    if (!end) violations.push(`${order.id} was stored and never ended`);
+    if (end?.type === "refused") violations.push(`${order.id} was refused`);
+    const isFailed = end?.type === "failed" && !isCancelled;
+    if (isFailed && end.reason !== "attemptsUsed") {
+      violations.push(`${order.id} failed: ${end.reason}`);
+    }
+    if (end?.type === "completed") {
+      violations.push(...findUndone(order, oracle));
+    }
+  }
+  return { violations, ended };
+}
+
+function findUndone(order: JobOrder, oracle: Oracle): string[] {
+  return order.steps.flatMap(({ count }, step) =>
+    Array.from(
+      { length: count },
+      (_, index) => `${order.id}.0.${step}.${index}`,
+    )
+  )
+    .filter((task) => !oracle.hasEnded(task, "done"))
+    .map((task) => `${task} was not done though its job is shown as completed`);
+}
--- /dev/null
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -0,0 +1,27 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import * as fc from "fast-check";
+import { createFaultArbitrary } from "./create_fault_arbitrary.ts";
+import { runSchedulerHistory } from "./run_scheduler_history.ts";
+
+const SEED = 7;
+const HISTORIES = 40;
+
+test("no history of jobs and troubles breaks a promise of the scheduler", () => {
+  fc.assert(
+    fc.property(createFaultArbitrary(), fc.nat(1_000_000), (faults, seed) => {
+      assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+    }),
+    { seed: SEED, numRuns: HISTORIES },
+  );
+});
+
+test("a start that crosses the rebirth of its endpoint runs no task twice", () => {
+  const faults = [
+    { atMs: 5_979, forMs: 100, endpoint: 3, kind: "rebirth" } as const,
+    { atMs: 2_595, forMs: 100, endpoint: 0, kind: "takeover" } as const,
+    { atMs: 0, forMs: 100, endpoint: 0, kind: "cut" } as const,
+  ];
+
+  assert.deepEqual(runSchedulerHistory(faults, 401_946).violations, []);
+});
