Endpoints whose ends wait for the store are asked less often; none wait where no jobs are stored

And after a takeover ends of unknown runs, heard before the stored jobs were read, waited 2 s also where no jobs are stored, which would delay the news of each end there.

Ruled out: a fixed longer pause (the usual wait is one write, about 30 ms).

Change: the pause grows by 30 ms each time, to 250 ms; where no jobs are stored nothing waits.

--- a/src/scheduler/compute_acknowledged_end.ts
+++ b/src/scheduler/compute_acknowledged_end.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { hasStoredJobs } from "./has_stored_jobs.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** Computes up to which end an endpoint may forget its list: what the store must know is listed until it does. */
@@ -8,6 +9,7 @@
   nowMs: number,
 ): number {
   if (!state.areKeptJobsRead) return 0;
+  if (!hasStoredJobs(state)) endpoint.unsettled.clear();
   let acknowledged = endpoint.lastEnd;
   for (const [number, untilMs] of endpoint.unsettled) {
     if (untilMs <= nowMs) endpoint.unsettled.delete(number);
--- a/src/vm/create_endpoint_sessions.ts
+++ b/src/vm/create_endpoint_sessions.ts
@@ -20,7 +20,7 @@
 const PROBE_MS = 150;
 /** The same for an endpoint that obeys a later scheduler, in ms. */
 const TAKEN_PROBE_MS = 300;
-/** Pause before an endpoint is asked again whose ends are being stored, in ms: about the time of a write. */
+/** Pause before an endpoint is asked again whose ends are being stored, in ms: about the time of a write. It grows by as much each time, as the store may be away. */
 const UNSETTLED_MS = 30;
 /** Pause before a stop that was not confirmed is sent again, in ms. */
 const STOP_AGAIN_MS = 50;
@@ -52,6 +52,7 @@
 
   async function follow(id: string, session: Session): Promise<void> {
     let failures = 0;
+    let unsettledMs = 0;
     while (session.isOpen) {
       const endpoint = state.endpoints.get(id);
       if (!endpoint) return;
@@ -84,7 +85,11 @@
         failures = 0;
         act(() => applyListing(state, id, listing));
         // It answers at once while it has ends that it may not forget yet.
-        if (endpoint.unsettled.size > 0) await waitMs(UNSETTLED_MS);
+        const isUnsettled = endpoint.unsettled.size > 0;
+        unsettledMs = isUnsettled
+          ? Math.min(unsettledMs + UNSETTLED_MS, LIST_WAIT_MS)
+          : 0;
+        if (isUnsettled) await waitMs(unsettledMs);
       } catch {
         failures += 1;
         if (failures > 1) act((at) => applySilence(state, id, at));
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -247,6 +247,21 @@
     assert.notEqual(driver.readLease(endpointId), undefined);
   });
 
+  test("where no jobs are stored, ends that were heard before that was known are forgotten at once", () => {
+    const driver = createSchedulerDriver({
+      token: 200,
+      areKeptJobsRead: false,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 100_001, how: "done" }],
+    });
+    assert.equal(driver.readAcknowledged("e1"), 0);
+
+    driver.state.areKeptJobsRead = true;
+    assert.equal(driver.readAcknowledged("e1"), 1);
+  });
+
   test("there may be stored jobs until they have been read", () => {
     const unread = { hasKeptJobs: false, areKeptJobsRead: false };
 
--- a/test/vm/endpoint_sessions_test.ts
+++ b/test/vm/endpoint_sessions_test.ts
@@ -51,4 +51,32 @@
       [0, 4, 4, 0, 4],
     );
   });
+
+  test("an endpoint whose ends can't be stored is asked less and less often", async () => {
+    const driver = createSchedulerDriver({ areKeptJobsRead: false });
+    driver.addEndpoint("e1");
+    let asked = 0;
+    const sessions = createEndpointSessions({
+      state: driver.state,
+      act: (decide) => decide(performance.now()),
+      log: () => {},
+      superseded: () => {},
+      createClient: () => ({
+        start: () => Promise.resolve({ type: "accepted" }),
+        stop: () => Promise.resolve(true),
+        close: () => {},
+        list: () => {
+          asked += 1;
+          return Promise.resolve(
+            createListing([{ number: 4, task: "other.0.0.0" }]),
+          );
+        },
+      }),
+    });
+    sessions.refresh();
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    sessions.close();
+
+    assert.ok(asked >= 3 && asked <= 10, `asked ${asked} times`);
+  });
 });
