--- a/test/platform/stored_jobs_test.ts
+++ b/test/platform/stored_jobs_test.ts
@@ -6,6 +6,7 @@
 import { waitFor } from "../fixtures/wait_for.ts";
 
 type System = Awaited<ReturnType<typeof startNodes>>;
+type Runs = System["workers"][number]["history"];
 
 /** A job that must be stored: a step, and one that waits for it. */
 const JOB = {
@@ -53,7 +54,7 @@
     assert.equal(reply.status, 200);
     await waitFor(async () => await readState(system, id) === "completed");
     const runs = listRuns(system, id);
-    assert.equal(runs.length, TASKS);
+    checkEachDoneOnce(runs);
     const firstEnds = runs.filter(({ task }) => task.startsWith(`${id}.0.0.`))
       .map(({ endedMs }) => endedMs ?? Infinity);
     const second = runs.filter(({ task }) => task.startsWith(`${id}.0.1.`));
@@ -70,7 +71,7 @@
     await new Promise((resolve) => setTimeout(resolve, 400));
 
     assert.ok([...replies, late].every(({ status }) => status === 200));
-    assert.equal(listRuns(system, id).length, TASKS);
+    checkEachDoneOnce(listRuns(system, id));
     assert.equal(await readState(system, id), "completed");
   });
 
@@ -104,9 +105,11 @@
     await waitFor(async () => await readState(system, id) === "failed");
     for (const { faults } of system.workers) faults.failsAll = false;
 
-    const runs = listRuns(system, id);
-    for (const { task } of runs) {
-      assert.ok(runs.filter((one) => one.task === task).length <= 2);
+    // Runs that were stopped to start elsewhere are no attempts.
+    const failed = listRuns(system, id).filter(({ how }) => how === "failed");
+    assert.ok(failed.length > 0);
+    for (const { task } of failed) {
+      assert.ok(failed.filter((one) => one.task === task).length <= 2);
     }
   });
 
@@ -258,9 +261,20 @@
   });
 });
 
-/** A task that was done has no run that began later, and no two of its runs overlap. */
+/** Every task was done, once. On a busy machine a start may go unanswered, and its task has another run once that is stopped. */
+function checkEachDoneOnce(runs: Runs): void {
+  const done = runs.filter(({ how }) => how === "done");
+  assert.equal(done.length, TASKS);
+  assert.equal(new Set(done.map(({ task }) => task)).size, TASKS);
+  checkRuns(runs);
+}
+
 function checkDoneOnce(system: System): void {
-  const runs = system.workers.flatMap(({ history }) => history);
+  checkRuns(system.workers.flatMap(({ history }) => history));
+}
+
+/** A task that was done has no run that began later, and no two of its runs overlap. */
+function checkRuns(runs: Runs): void {
   for (const one of runs) {
     for (const other of runs) {
       if (one === other || one.task !== other.task) continue;
