A run that is being stopped counts until it is gone; a VM that ends answers all its callers

Its job was handed in again after the new scheduler had begun to stop that run, as nobody had asked for it; a run under its stop was then left out of account, and a stop takes up to 50 ms. Such a task now waits until a listing lacks the run. Test in succession_test.ts, failed first.

The VM now answers what is open (503 if it was not handed on, else 504). Test in node_test.ts, failed first.

--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -41,6 +41,14 @@
       addRun(endpoint, task);
       continue;
     }
+    const stopping = findStopping(state, task.name);
+    if (stopping) {
+      // Until the stop has taken effect the run is there.
+      task.unaccountedUntilMs = nowMs + UNACCOUNTED_MS;
+      task.unaccountedSinceMs = nowMs;
+      task.endpointId = stopping.row.id;
+      continue;
+    }
     if (!progress.isResubmitted) continue;
     const place = places.get(task.name);
     if (place === undefined || progress.wasSolo || !isListed(state, place)) {
@@ -72,6 +80,13 @@
   return undefined;
 }
 
+function findStopping(state: SchedulerState, name: string) {
+  for (const endpoint of state.endpoints.values()) {
+    if (endpoint.strangers.has(name)) return endpoint;
+  }
+  return undefined;
+}
+
 function isListed(state: SchedulerState, endpointId: string): boolean {
   const endpoint = state.endpoints.get(endpointId);
   return endpoint !== undefined && endpoint.phase === "usable";
--- a/src/scheduler/review_unaccounted.ts
+++ b/src/scheduler/review_unaccounted.ts
@@ -1,3 +1,4 @@
+import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** An endpoint that was never heard and left the list is reckoned with for this long, in ms: longer than cuts usually last. */
@@ -17,17 +18,16 @@
       const isOver = nowMs > task.unaccountedUntilMs;
       const isSettled = task.endpointId === undefined
         ? areAllListed
-        : isListed(state, task.endpointId, task.unaccountedSinceMs);
+        : isListed(state, task);
       if (isOver || isSettled) task.unaccountedUntilMs = 0;
     }
   }
 }
 
-function isListed(
-  state: SchedulerState,
-  endpointId: string,
-  sinceMs: number,
-): boolean {
-  const endpoint = state.endpoints.get(endpointId);
-  return endpoint?.phase === "usable" && endpoint.listedMs >= sinceMs;
+/** Whether the endpoint has been heard, and does not run the task. */
+function isListed(state: SchedulerState, task: ScheduledTask): boolean {
+  const endpoint = state.endpoints.get(task.endpointId ?? "");
+  return endpoint?.phase === "usable" &&
+    endpoint.listedMs >= task.unaccountedSinceMs &&
+    !endpoint.strangers.has(task.name);
 }
--- a/src/vm/create_open_jobs.ts
+++ b/src/vm/create_open_jobs.ts
@@ -103,20 +103,25 @@
     },
   };
 
+  function cancel(id: string): boolean {
+    const job = jobs.get(id);
+    if (!job) return false;
+    link?.abandon(id);
+    const mayHaveRun = job.handedTo !== 0;
+    end(
+      job,
+      mayHaveRun
+        ? { type: "failed", reason: "abandoned" }
+        : { type: "refused", reason: "abandoned", retryAfterMs: 0 },
+    );
+    return true;
+  }
+
   return {
     submit,
-    cancel: (id) => {
-      const job = jobs.get(id);
-      if (!job) return false;
-      link?.abandon(id);
-      const mayHaveRun = job.handedTo !== 0;
-      end(
-        job,
-        mayHaveRun
-          ? { type: "failed", reason: "abandoned" }
-          : { type: "refused", reason: "abandoned", retryAfterMs: 0 },
-      );
-      return true;
+    cancel,
+    giveUp: () => {
+      for (const id of [...jobs.keys()]) cancel(id);
     },
     events,
     setLink: (next) => {
--- a/src/vm/open_jobs.ts
+++ b/src/vm/open_jobs.ts
@@ -9,6 +9,8 @@
   submit(order: JobOrder, answer: (outcome: JobOutcome) => void): () => void;
   /** Cancels a job of a caller here; false when there is none. */
   cancel(jobId: string): boolean;
+  /** Answers all callers: this VM ends. */
+  giveUp(): void;
   events: Pick<LinkEvents, "placed" | "done" | "ended">;
   /** Hands all jobs to another scheduler, or keeps them while there is none. */
   setLink(link: SchedulerLink | undefined): void;
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -23,6 +23,8 @@
 
 /** How often a stopping VM looks whether its callers have been answered, in ms. */
 const LOOK_MS = 20;
+/** Time for the last answers to leave, in ms. */
+const ANSWER_MS = 100;
 /** A VM without a scheduler for this long takes no new connections, in ms: a takeover's time. */
 const UNREADY_MS = 1_500;
 
@@ -118,6 +120,9 @@
       await waitMs(LOOK_MS);
     }
     log("drained", { jobs: jobs.count() });
+    if (jobs.isEmpty()) return;
+    jobs.giveUp();
+    await waitMs(ANSWER_MS);
   }
 
   return {
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -235,6 +235,30 @@
     }
   });
 
+  test("one that is asked to stop answers what it can't finish in time", async () => {
+    const system = await startNodes({ nodes: 2, workers: 1, runMs: 60_000 });
+    try {
+      const scheduler = system.findScheduler();
+      const other = system.nodes.find((node) => node !== scheduler);
+      assert.ok(other);
+      const reply = postJob(other, createId(1), {
+        waitMs: 20_000,
+        body: {
+          spec: "{}",
+          bestEffort: true,
+          steps: [{ count: 1, cpu: 6_800, memMb: 64, estimateMs: 60_000 }],
+        },
+      });
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      other.child.kill("SIGTERM");
+
+      assert.equal((await reply).status, 504);
+      assert.equal(await other.exited, 0);
+    } finally {
+      await system.stop();
+    }
+  });
+
   test("one that is asked to stop hands over, cuts off nothing and ends by itself", async () => {
     const system = await startNodes({ nodes: 2, workers: 2, runMs: 300 });
     try {
--- a/test/scheduler/succession_test.ts
+++ b/test/scheduler/succession_test.ts
@@ -189,4 +189,27 @@
 
     assert.equal(driver.outcomes.get("j")?.type, "refused");
   });
+
+  test("a task whose run is being stopped, as nobody had asked for it, starts elsewhere only when the run is gone", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addEndpoint("e1");
+    const running = [{ task: "j.0.0.0", run: 100_001, progress: 0 }];
+    driver.list("e1", { running });
+    driver.addIdleEndpoint("e2");
+    driver.advanceTo(500);
+    assert.equal(driver.stops.length, 1);
+
+    driver.submit({ id: "j" }, {
+      ...RESUBMITTED,
+      placed: [{ task: "j.0.0.0", endpointId: "e1" }],
+    });
+    driver.advanceTo(520);
+    driver.list("e1", { running });
+    driver.advanceTo(540);
+    assert.equal(driver.starts.length, 0);
+
+    driver.list("e1");
+    driver.advanceTo(560);
+    assert.equal(driver.starts.length, 1);
+  });
 });
