--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -1,25 +1,19 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { callNode } from "../fixtures/call_node.ts";
+import { checkRuns } from "../fixtures/check_runs.ts";
 import { createId } from "../fixtures/create_id.ts";
 import { postJob } from "../fixtures/post_job.ts";
+import { runOnNodes } from "../fixtures/run_on_nodes.ts";
 import { createConfiguration, startNodes } from "../fixtures/start_nodes.ts";
 import { waitFor } from "../fixtures/wait_for.ts";
 
 type System = Awaited<ReturnType<typeof startNodes>>;
 
 /** No task has two runs at the same time. */
-function checkRuns(system: System): void {
+function checkSystem(system: System): void {
   const runs = system.workers.flatMap(({ history }) => history);
-  for (const one of runs) {
-    for (const other of runs) {
-      if (one === other || one.task !== other.task) continue;
-      const begunBefore = one.beganMs <= other.beganMs;
-      if (!begunBefore) continue;
-      const endedMs = one.endedMs ?? Infinity;
-      assert.ok(endedMs <= other.beganMs, `${one.task} ran twice at once`);
-    }
-  }
+  checkRuns(runs, { isDoneFinal: false });
 }
 
 describe("nodes on the platform", () => {
@@ -40,7 +34,7 @@
 
     assert.deepEqual(replies.map(({ status }) => status), Array(12).fill(200));
     assert.deepEqual(replies[0].body, { state: "completed" });
-    checkRuns(system);
+    checkSystem(system);
   });
 
   test("the same id at two nodes at once is one job", async () => {
@@ -102,7 +96,7 @@
 
     assert.ok(replies.every(({ status }) => status === 200));
     await new Promise((resolve) => setTimeout(resolve, 900));
-    checkRuns(system);
+    checkSystem(system);
   });
 
   test("metrics tell how many callers were answered, and how fast", async () => {
@@ -150,8 +144,7 @@
 
 describe("a scheduler that goes", () => {
   test("one that is killed is replaced, and jobs that waited are completed", async () => {
-    const system = await startNodes({ nodes: 3, workers: 2, runMs: 400 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 2, runMs: 400 }, async (system) => {
       const scheduler = system.findScheduler();
       const others = system.nodes.filter((node) => node !== scheduler);
       const replies = Array.from(
@@ -164,16 +157,13 @@
       const statuses = (await Promise.all(replies)).map(({ status }) => status);
 
       assert.deepEqual(statuses, Array(8).fill(200));
-      checkRuns(system);
+      checkSystem(system);
       assert.notEqual(system.findScheduler(), scheduler);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("one that is paused is replaced, and starts nothing when it wakes", async () => {
-    const system = await startNodes({ nodes: 3, workers: 2, runMs: 300 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 2, runMs: 300 }, async (system) => {
       const scheduler = system.findScheduler();
       const others = system.nodes.filter((node) => node !== scheduler);
       const replies = Array.from(
@@ -188,15 +178,12 @@
 
       assert.deepEqual(statuses, Array(8).fill(200));
       assert.equal(late.status, 200);
-      checkRuns(system);
-    } finally {
-      await system.stop();
-    }
+      checkSystem(system);
+    });
   });
 
   test("one that the store turns away hands over and goes on as a VM of the next", async () => {
-    const system = await startNodes({ nodes: 3, workers: 4, runMs: 50 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 4, runMs: 50 }, async (system) => {
       const scheduler = system.findScheduler();
       scheduler.storeDoor.isClosed = true;
       await waitFor(() => system.findScheduler() !== scheduler, 6_000);
@@ -208,14 +195,11 @@
       const links = scheduler.logs.filter(({ event }) => event === "linked");
       assert.equal(links.at(-1)?.epoch, 2);
       assert.ok(!scheduler.logs.some(({ isSolo }) => isSolo === true));
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("one that learns late of the next, when its VMs have left, still finds it", async () => {
-    const system = await startNodes({ nodes: 3, workers: 4, runMs: 50 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 4, runMs: 50 }, async (system) => {
       const scheduler = system.findScheduler();
       for (const { faults } of system.workers) faults.lateRefusalMs = 600;
       scheduler.storeDoor.isClosed = true;
@@ -230,38 +214,35 @@
 
       assert.equal(reply.status, 200);
       assert.ok(!scheduler.logs.some(({ isSolo }) => isSolo === true));
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("one that is asked to stop answers what it can't finish in time", async () => {
-    const system = await startNodes({ nodes: 2, workers: 1, runMs: 60_000 });
-    try {
-      const scheduler = system.findScheduler();
-      const other = system.nodes.find((node) => node !== scheduler);
-      assert.ok(other);
-      const reply = postJob(other, createId(1), {
-        waitMs: 20_000,
-        body: {
-          spec: "{}",
-          bestEffort: true,
-          steps: [{ count: 1, cpu: 6_800, memMb: 64, estimateMs: 60_000 }],
-        },
-      });
-      await new Promise((resolve) => setTimeout(resolve, 300));
-      other.child.kill("SIGTERM");
-
-      assert.equal((await reply).status, 504);
-      assert.equal(await other.exited, 0);
-    } finally {
-      await system.stop();
-    }
+    await runOnNodes(
+      { nodes: 2, workers: 1, runMs: 60_000 },
+      async (system) => {
+        const scheduler = system.findScheduler();
+        const other = system.nodes.find((node) => node !== scheduler);
+        assert.ok(other);
+        const reply = postJob(other, createId(1), {
+          waitMs: 20_000,
+          body: {
+            spec: "{}",
+            bestEffort: true,
+            steps: [{ count: 1, cpu: 6_800, memMb: 64, estimateMs: 60_000 }],
+          },
+        });
+        await new Promise((resolve) => setTimeout(resolve, 300));
+        other.child.kill("SIGTERM");
+
+        assert.equal((await reply).status, 504);
+        assert.equal(await other.exited, 0);
+      },
+    );
   });
 
   test("one that is asked to stop hands over, cuts off nothing and ends by itself", async () => {
-    const system = await startNodes({ nodes: 2, workers: 2, runMs: 300 });
-    try {
+    await runOnNodes({ nodes: 2, workers: 2, runMs: 300 }, async (system) => {
       const scheduler = system.findScheduler();
       const replies = Array.from(
         { length: 6 },
@@ -274,9 +255,7 @@
 
       assert.deepEqual(statuses, Array(6).fill(200));
       assert.equal(await scheduler.exited, 0);
-      checkRuns(system);
-    } finally {
-      await system.stop();
-    }
+      checkSystem(system);
+    });
   });
 });
--- a/test/platform/stored_jobs_test.ts
+++ b/test/platform/stored_jobs_test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { callNode } from "../fixtures/call_node.ts";
+import { checkRuns } from "../fixtures/check_runs.ts";
 import { createId } from "../fixtures/create_id.ts";
+import { runOnNodes } from "../fixtures/run_on_nodes.ts";
 import { startNodes } from "../fixtures/start_nodes.ts";
 import { waitFor } from "../fixtures/wait_for.ts";
 
@@ -148,8 +150,7 @@
 
 describe("stored jobs under failure", () => {
   test("power lost everywhere right after an accept costs no job and runs no task again that was done", async () => {
-    const system = await startNodes({ nodes: 3, workers: 3, runMs: 100 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 3, runMs: 100 }, async (system) => {
       const ids = Array.from({ length: 6 }, (_, index) => createId(index));
       for (const id of ids) {
         assert.equal((await submit(system, id)).status, 200);
@@ -168,14 +169,11 @@
         return states.every((state) => state === "completed");
       }, 15_000);
       checkDoneOnce(system);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("a scheduler that is killed costs no job and runs no task again that was done", async () => {
-    const system = await startNodes({ nodes: 3, workers: 3, runMs: 100 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 3, runMs: 100 }, async (system) => {
       const scheduler = system.findScheduler();
       const node = system.nodes.findIndex((one) => one !== scheduler);
       const ids = Array.from({ length: 6 }, (_, index) => createId(index));
@@ -195,14 +193,11 @@
         return states.every((state) => state === "completed");
       }, 15_000);
       checkDoneOnce(system);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("a scheduler that the store turns away is replaced, and no task runs again that was done", async () => {
-    const system = await startNodes({ nodes: 3, workers: 3, runMs: 700 });
-    try {
+    await runOnNodes({ nodes: 3, workers: 3, runMs: 700 }, async (system) => {
       const scheduler = system.findScheduler();
       const node = system.nodes.findIndex((one) => one !== scheduler);
       const ids = Array.from({ length: 4 }, (_, index) => createId(index));
@@ -221,14 +216,11 @@
         return states.every((state) => state === "completed");
       }, 20_000);
       checkDoneOnce(system);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("while the store is away, stored jobs are refused at once as not run", async () => {
-    const system = await startNodes({ nodes: 2, workers: 2, runMs: 50 });
-    try {
+    await runOnNodes({ nodes: 2, workers: 2, runMs: 50 }, async (system) => {
       system.store.faults.status = 503;
       const reply = await submit(system, createId(1));
       system.store.faults.status = undefined;
@@ -236,14 +228,11 @@
       assert.equal(reply.status, 503);
       assert.ok(Number(reply.headers["retry-after"]) >= 1);
       assert.equal(await readState(system, createId(1)), 410);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 
   test("writes of the store whose answers are lost cost no job and run nothing twice", async () => {
-    const system = await startNodes({ nodes: 2, workers: 2, runMs: 50 });
-    try {
+    await runOnNodes({ nodes: 2, workers: 2, runMs: 50 }, async (system) => {
       system.store.faults.losesAnswers = true;
       const waiting = submit(system, createId(1));
       await new Promise((resolve) => setTimeout(resolve, 300));
@@ -255,9 +244,7 @@
         15_000,
       );
       checkDoneOnce(system);
-    } finally {
-      await system.stop();
-    }
+    });
   });
 });
 
@@ -266,21 +253,10 @@
   const done = runs.filter(({ how }) => how === "done");
   assert.equal(done.length, TASKS);
   assert.equal(new Set(done.map(({ task }) => task)).size, TASKS);
-  checkRuns(runs);
+  checkRuns(runs, { isDoneFinal: true });
 }
 
 function checkDoneOnce(system: System): void {
-  checkRuns(system.workers.flatMap(({ history }) => history));
-}
-
-/** A task that was done has no run that began later, and no two of its runs overlap. */
-function checkRuns(runs: Runs): void {
-  for (const one of runs) {
-    for (const other of runs) {
-      if (one === other || one.task !== other.task) continue;
-      if (other.beganMs < one.beganMs) continue;
-      assert.ok((one.endedMs ?? Infinity) <= other.beganMs, one.task);
-      assert.notEqual(one.how, "done", `${one.task} ran again`);
-    }
-  }
+  const runs = system.workers.flatMap(({ history }) => history);
+  checkRuns(runs, { isDoneFinal: true });
 }
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -11,6 +11,7 @@
 import { loseEndpoint } from "../../src/scheduler/lose_endpoint.ts";
 import type { SchedulerState } from "../../src/scheduler/scheduler_state.ts";
 import type { StartReply } from "../../src/scheduler/start_reply.ts";
+import { SCHEDULER_LIMITS } from "../fixtures/scheduler_limits.ts";
 import { takeEffects } from "../../src/scheduler/take_effects.ts";
 import { updateEndpoints } from "../../src/scheduler/update_endpoints.ts";
 import type { FuzzEndpoint } from "./fuzz_endpoint.ts";
@@ -26,12 +27,6 @@
 const ANSWER_MS = 250;
 const STOP_AGAIN_MS = 50;
 const MOST_STOPS = 40;
-const LIMITS = {
-  leaseMs: 1_000,
-  stopMs: 50,
-  remoteFactor: 1.5,
-  resendMs: 1_300,
-};
 
 /** How the host's calls fare; a call is carried out after `thereMs`, if at all, and answered after `backMs`, if at all. */
 export type Way = { thereMs?: number; backMs?: number };
@@ -59,7 +54,7 @@
   constructor(world: FuzzWorld, token: number) {
     this.#world = world;
     this.state = createSchedulerState(token, {
-      limits: LIMITS,
+      limits: SCHEDULER_LIMITS,
       nowMs: world.readNow(),
       areKeptJobsRead: false,
       knownEndpoints: world.endpoints.map(({ id }) => id),
--- a/test/vm/endpoint_sessions_test.ts
+++ b/test/vm/endpoint_sessions_test.ts
@@ -20,29 +20,38 @@
   };
 }
 
+/** Opens a session to one endpoint, which answers listings as told. */
+function openSession(
+  options: Parameters<typeof createSchedulerDriver>[0],
+  list: EndpointClient["list"],
+) {
+  const driver = createSchedulerDriver(options);
+  driver.addEndpoint("e1");
+  const sessions = createEndpointSessions({
+    state: driver.state,
+    act: (decide) => decide(performance.now()),
+    log: () => {},
+    superseded: () => {},
+    createClient: () => ({
+      start: () => Promise.resolve({ type: "accepted" }),
+      stop: () => Promise.resolve(true),
+      close: () => {},
+      list,
+    }),
+  });
+  sessions.refresh();
+  return sessions;
+}
+
 describe("an endpoint's session", () => {
   test("nothing is acknowledged behind a connection that broke, as another process may answer", async () => {
-    const driver = createSchedulerDriver();
-    driver.addEndpoint("e1");
     const orders: ListOrder[] = [];
-    const sessions = createEndpointSessions({
-      state: driver.state,
-      act: (decide) => decide(performance.now()),
-      log: () => {},
-      superseded: () => {},
-      createClient: () => ({
-        start: () => Promise.resolve({ type: "accepted" }),
-        stop: () => Promise.resolve(true),
-        close: () => {},
-        list: async (order) => {
-          orders.push(order);
-          await new Promise((resolve) => setTimeout(resolve, 10));
-          if (orders.length === 3) throw new Error("closed");
-          return createListing([{ number: 4, task: "other.0.0.0" }]);
-        },
-      }),
+    const sessions = openSession({}, async (order) => {
+      orders.push(order);
+      await new Promise((resolve) => setTimeout(resolve, 10));
+      if (orders.length === 3) throw new Error("closed");
+      return createListing([{ number: 4, task: "other.0.0.0" }]);
     });
-    sessions.refresh();
     await waitFor(() => orders.length >= 5);
     sessions.close();
 
@@ -53,27 +62,13 @@
   });
 
   test("an endpoint whose ends can't be stored is asked less and less often", async () => {
-    const driver = createSchedulerDriver({ areKeptJobsRead: false });
-    driver.addEndpoint("e1");
     let asked = 0;
-    const sessions = createEndpointSessions({
-      state: driver.state,
-      act: (decide) => decide(performance.now()),
-      log: () => {},
-      superseded: () => {},
-      createClient: () => ({
-        start: () => Promise.resolve({ type: "accepted" }),
-        stop: () => Promise.resolve(true),
-        close: () => {},
-        list: () => {
-          asked += 1;
-          return Promise.resolve(
-            createListing([{ number: 4, task: "other.0.0.0" }]),
-          );
-        },
-      }),
+    const sessions = openSession({ areKeptJobsRead: false }, () => {
+      asked += 1;
+      return Promise.resolve(
+        createListing([{ number: 4, task: "other.0.0.0" }]),
+      );
     });
-    sessions.refresh();
     await new Promise((resolve) => setTimeout(resolve, 1_000));
     sessions.close();
 
