A long queue of stored jobs no longer keeps schedulers from beating; settings are read again

Ruled out: the store's rate (the reading itself took 20 ms), leases and endpoints (all listed), a VM that freezes (beats of others went on). Change: jobs of one reading are placed once, handed over 50 at a time with a turn of the loop between; placing looks only at jobs whose room is free, through the heap; a count of waiting jobs is told only when it is known and younger than 2 s (503 else); a service whose waiting work would keep all its room busy for over 2 s takes no more stored jobs (503 with the time to come back). A job larger than a row is refused (413).

SIGHUP and a change without a signal (looked for each second) are taken up: bounds, the size of rows, the store's address; what is bound at the start is named as needing a restart; a faulty file changes nothing.

--- a/src/kept/create_job_writer.ts
+++ b/src/kept/create_job_writer.ts
@@ -26,7 +26,10 @@
 };
 
 /** Stores accepted jobs, those that arrive while a write is on its way together in the next one. */
-export function createJobWriter(table: Table): {
+export function createJobWriter(
+  table: Table,
+  readMostRowBytes: () => number,
+): {
   /** Resolves when the job is stored, or surely is not, or the wait is over. */
   store(order: JobOrder): Promise<StoreOutcome>;
   /** Jobs that wait for the store. */
@@ -101,10 +104,12 @@
     store: (order) =>
       new Promise((resolve) => {
         const row = { order, acceptedAtMs: Date.now() };
+        const bytes = Buffer.byteLength(JSON.stringify(row));
+        if (bytes > readMostRowBytes()) return resolve("tooLarge");
         waiting.push({
           id: order.id,
           row,
-          bytes: JSON.stringify(row).length,
+          bytes,
           untilMs: readMonotonicMs() + order.waitMs,
           isSent: false,
           resolve,
--- a/src/kept/follow_stored_jobs.ts
+++ b/src/kept/follow_stored_jobs.ts
@@ -1,5 +1,7 @@
+import { setImmediate } from "node:timers/promises";
 import { readError } from "../errors/read_error.ts";
 import { cancelJob } from "../scheduler/cancel_job.ts";
+import { placeTasks } from "../scheduler/place_tasks.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 import { submitStoredJob } from "../scheduler/submit_stored_job.ts";
 import type { TableRow } from "../store/table_row.ts";
@@ -14,6 +16,8 @@
 
 /** How long one watch waits for a change, in ms; a silent connection is found after it, well inside the time for a cancel. */
 const WATCH_MS = 500;
+/** Rows handed over without a break: a few ms of work, a fraction of the time between two beats. */
+const ROWS_AT_ONCE = 50;
 /** Pause after a call of the store that failed, in ms. */
 const AGAIN_MS = 100;
 /** An earlier scheduler may have heard of jobs that are stored until then, in ms after this one began. */
@@ -50,9 +54,20 @@
         if (isCancel) cancelJob(state, id, nowMs);
         else takeJob(row.value as KeptJobRow, { stored, nowMs });
       }
+      placeTasks(state, nowMs);
     });
   }
 
+  /** Hands over many jobs a few at a time: beats and links go on meanwhile. */
+  async function takeAllRows(stored: Stored): Promise<void> {
+    for (let at = 0; at < stored.rows.length; at += ROWS_AT_ONCE) {
+      const rows = stored.rows.slice(at, at + ROWS_AT_ONCE);
+      takeRows({ ...stored, rows });
+      await setImmediate();
+      if (isStopped) return;
+    }
+  }
+
   function takeJob(
     { order, acceptedAtMs }: KeptJobRow,
     from: { stored: Stored; nowMs: number },
@@ -78,7 +93,8 @@
       progress.set(id, value as KeptProgressRow);
     }
     if (isStopped) return;
-    takeRows({ rows: jobs.rows, progress, mayHaveRun: true });
+    await takeAllRows({ rows: jobs.rows, progress, mayHaveRun: true });
+    if (isStopped) return;
     since = jobs.revision;
     if (state.areKeptJobsRead) return;
     state.areKeptJobsRead = true;
--- a/src/kept/keep_stored_jobs.ts
+++ b/src/kept/keep_stored_jobs.ts
@@ -21,7 +21,7 @@
   /** Called when the role has gone on to another process. */
   superseded: () => void;
   /** How long the end of a job is kept for its caller, in ms. */
-  keepEndsMs: number;
+  readKeepEndsMs: () => number;
 }): { stop(): void } {
   const { table, state, log } = options;
   const saver = saveStoredJobs(options);
@@ -34,7 +34,7 @@
     if (!state.hasKeptJobs) return;
     try {
       const jobs = await forgetEndedJobs(table, {
-        endedBeforeMs: Date.now() - options.keepEndsMs,
+        endedBeforeMs: Date.now() - options.readKeepEndsMs(),
         roleRevision: options.readRoleRevision(),
       });
       if (jobs > 0) log("endedJobsForgotten", { jobs });
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -3,6 +3,7 @@
 import { isWanted } from "./is_wanted.ts";
 import { isLate } from "../decide/is_late.ts";
 import { addRun } from "./add_run.ts";
+import { BinaryHeap } from "../utils/binary_heap.ts";
 import type { ServiceRoom } from "./service_room.ts";
 import { computeRoom } from "./compute_room.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
@@ -19,30 +20,36 @@
 /** Starts what there is room for, the most urgent job first. */
 export function placeTasks(state: SchedulerState, nowMs: number): void {
   if (state.waiting.size === 0) return;
-  const jobs = [...state.waiting];
-  const ranks = new Map(jobs.map((job) => [job, computeRank(job, nowMs)]));
-  jobs.sort((one, other) =>
-    (ranks.get(one) as number) - (ranks.get(other) as number)
-  );
   let room = computeRoom(state);
-  for (const job of jobs) {
-    if (!isWanted(job)) continue;
-    if (job.order.isKept && nowMs > state.roleCertainUntilMs) continue;
-    if (!job.isBegun && isLate(job, nowMs)) {
-      if (!canStartLate(findRoom(room, job))) continue;
+  const queue = new BinaryHeap<ScheduledJob>();
+  for (const job of state.waiting) {
+    if (isCandidate(state, job, { room, nowMs })) {
+      queue.push(job, computeRank(job, nowMs));
     }
-    if (!hasRoom(job, findRoom(room, job))) continue;
+  }
+  while (queue.size > 0 && hasAnyRoom(room)) {
+    const job = queue.pop() as ScheduledJob;
+    // What was started since it was queued may have taken its room.
+    if (!isCandidate(state, job, { room, nowMs })) continue;
     if (placeJob(state, job, nowMs) > 0) room = computeRoom(state);
   }
 }
 
-const NO_ROOM = { free: 0, whole: 0, largest: 0 };
-
-function findRoom(
-  room: Map<string, ServiceRoom>,
+/** Whether a job may start tasks now; with a long queue and little room few of them can. */
+function isCandidate(
+  state: SchedulerState,
   job: ScheduledJob,
-): ServiceRoom {
-  return room.get(job.order.service) ?? NO_ROOM;
+  at: { room: Map<string, ServiceRoom>; nowMs: number },
+): boolean {
+  const { nowMs } = at;
+  const room = at.room.get(job.order.service);
+  if (!room || !hasRoom(job, room) || !isWanted(job)) return false;
+  if (job.order.isKept && nowMs > state.roleCertainUntilMs) return false;
+  return job.isBegun || !isLate(job, nowMs) || canStartLate(room);
+}
+
+function hasAnyRoom(room: Map<string, ServiceRoom>): boolean {
+  return [...room.values()].some(({ largest }) => largest > 0);
 }
 
 /** Whether any step of the job could fit the largest free room, which saves looking at each endpoint. */
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -2,7 +2,6 @@
 import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
 import type { JobOrder } from "./job_order.ts";
-import { placeTasks } from "./place_tasks.ts";
 import { recordChange } from "./record_change.ts";
 import { recordEvent } from "./record_event.ts";
 import { releaseSteps } from "./release_steps.ts";
@@ -10,7 +9,7 @@
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { StoredProgress } from "./stored_progress.ts";
 
-/** Takes a job from the store; one that is known already goes on as it is. */
+/** Takes a job from the store, to be placed with others of the same reading; one that is known already goes on as it is. */
 export function submitStoredJob(
   state: SchedulerState,
   order: JobOrder,
@@ -49,7 +48,6 @@
   job.isBegun = hasRun || progress !== undefined;
   releaseSteps(state, job);
   endIfOver(state, job, nowMs);
-  placeTasks(state, nowMs);
 }
 
 function takeFailures(job: ScheduledJob, progress: StoredProgress): void {
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -4,10 +4,12 @@
 import { waitMs } from "../utils/wait_ms.ts";
 import type { BeatRow } from "./beat_row.ts";
 import { computeToken } from "./compute_token.ts";
+import { createKeptView } from "./create_kept_view.ts";
 import { createLinkSlot } from "./create_link_slot.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
 import { followSchedulerRow } from "./follow_scheduler_row.ts";
+import type { KeptView } from "./kept_view.ts";
 import type { LinkedVm } from "./linked_vm.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { OpenJobs } from "./open_jobs.ts";
@@ -59,8 +61,7 @@
   findHost(): SchedulerHost | undefined;
   /** The holder of the role, as far as this VM knows. */
   findRow(): SchedulerRow | undefined;
-  /** Stored jobs of a route of which no task has begun, as last heard. */
-  countPending(route: string): number;
+  kept: KeptView;
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log } = options;
@@ -69,7 +70,7 @@
   let host: SchedulerHost | undefined;
   let solo: SchedulerHost | undefined;
   const slot = createLinkSlot(jobs, log);
-  let pending: Record<string, number> = {};
+  const kept = createKeptView();
   /** Until a scheduler has said otherwise there may be stored jobs. */
   let hasKeptJobs = true;
   let isLeaving = false;
@@ -124,7 +125,7 @@
       vms = status.successors;
       for (const vm of vms) peers.set(vm.name, vm);
       slot.setEpoch(status.epoch);
-      pending = status.pending;
+      kept.take(status);
       hasKeptJobs = status.hasKeptJobs;
       options.heardVersion(status.configurationVersion);
     },
@@ -388,7 +389,7 @@
   return {
     findHost: () => host,
     findRow: () => row?.value,
-    countPending: (route) => pending[route] ?? 0,
+    kept,
     stop: () => {
       isStopped = true;
       clearInterval(soloTimer);
--- a/src/vm/running_vm.ts
+++ b/src/vm/running_vm.ts
@@ -15,8 +15,10 @@
   readState(jobId: string): Promise<JobState | undefined>;
   /** Asks for a stored job to be cancelled; false when there is none of that id. Rejects while the store does not answer. */
   cancelStored(jobId: string): Promise<boolean>;
-  /** Stored jobs of a route of which no task has begun, as last heard from the scheduler. */
-  countPending(route: string): number;
+  /** Stored jobs of a route of which no task has begun; undefined when the scheduler was not heard lately. */
+  countPending(route: string): number | undefined;
+  /** When it is worth coming back with a stored job for a service, in ms. */
+  readBacklogMs(service: string): number;
   /** Whether new connections should come here. */
   isReady(): boolean;
   isDraining(): boolean;
--- a/src/vm/scheduler_status.ts
+++ b/src/vm/scheduler_status.ts
@@ -8,6 +8,8 @@
   successors: LinkedVm[];
   /** Whether there are stored jobs, so that ends of unknown runs must not be forgotten. */
   hasKeptJobs: boolean;
-  /** Stored jobs of which no task has begun, by route. */
-  pending: Record<string, number>;
+  /** Stored jobs of which no task has begun, by route; absent until they have been read. */
+  pending?: Record<string, number>;
+  /** How long all the room of each service would be busy with what waits, in ms. */
+  backlogsMs: Record<string, number>;
 };
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -1,6 +1,7 @@
 import { match } from "ts-pattern";
 import { dropCaller } from "../scheduler/drop_caller.ts";
 import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
+import { computeBacklogs } from "../decide/compute_backlogs.ts";
 import { computeToken } from "./compute_token.ts";
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
 import type { Effect } from "../scheduler/effect.ts";
@@ -231,13 +232,20 @@
     act(() => takeBackEndpoints(state, token, returned));
   }
 
+  /** A VM that serves alone knows of no stored jobs, and a new scheduler only once it has read them. */
+  function listPending(): Record<string, number> | undefined {
+    if (isSolo || !state.areKeptJobsRead) return undefined;
+    return state.hasKeptJobs ? countPending(state) : {};
+  }
+
   function sendBeat(): void {
     const status = {
       epoch,
       successors: listVms(),
       configurationVersion: options.configurationVersion(),
       hasKeptJobs: hasStoredJobs(state),
-      pending: state.hasKeptJobs ? countPending(state) : {},
+      pending: listPending(),
+      backlogsMs: state.hasKeptJobs ? computeBacklogs(state) : {},
     };
     for (const { events } of links.values()) events.status(status);
   }
@@ -271,7 +279,7 @@
     log,
     readRoleRevision: options.readRoleRevision,
     superseded: () => options.superseded(1),
-    keepEndsMs: settings.keepEndsMs,
+    readKeepEndsMs: () => settings.keepEndsMs,
   });
   followEndpoints();
   log("schedulerBegan", { epoch, token: options.token, isSolo });
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -7,6 +7,7 @@
 import { canEverFit } from "../scheduler/can_ever_fit.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
+import { isBacklogFull } from "../decide/is_backlog_full.ts";
 import { computeShare } from "../decide/compute_share.ts";
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
 import { keepEndpoints } from "./keep_endpoints.ts";
@@ -57,9 +58,14 @@
     configurationVersion: options.configurationVersion(),
   });
   const endpoints = keepEndpoints(ports);
-  const writer = createJobWriter(ports.table);
+  const writer = createJobWriter(
+    ports.table,
+    () => settings.mostRowBytes,
+  );
   function storeJob(order: JobOrder): Promise<StoreOutcome> {
     if (!options.isStoreReachable()) return Promise.resolve("notStored");
+    const backlogMs = follower.kept.readBacklogMs(order.service);
+    if (isBacklogFull(backlogMs)) return Promise.resolve("busy");
     const rows = endpoints.read();
     const canFit = rows.length === 0 ||
       order.steps.every((step) => canEverFit(rows, order.service, step));
@@ -132,7 +138,8 @@
     store: storeJob,
     readState: (id) => readJobState(ports.table, id),
     cancelStored: (id) => cancelStoredJob(ports.table, id),
-    countPending: follower.countPending,
+    countPending: follower.kept.countPending,
+    readBacklogMs: follower.kept.readBacklogMs,
     isReady,
     isDraining: () => isDraining,
     isIdle,
--- a/src/vm/vm_settings.ts
+++ b/src/vm/vm_settings.ts
@@ -1,6 +1,6 @@
 import type { SchedulerLimits } from "../scheduler/scheduler_limits.ts";
 
-/** What a VM's process needs to know of itself. */
+/** What a VM's process needs to know of itself. The times, sizes and limits change in place when its settings do. */
 export type VmSettings = {
   name: string;
   dataCentre: string;
@@ -10,5 +10,7 @@
   stopWithinMs: number;
   /** How long the end of a stored job is kept for its caller, in ms. */
   keepEndsMs: number;
+  /** The store takes no larger value, in bytes. */
+  mostRowBytes: number;
   limits: SchedulerLimits;
 };
--- a/test/kept/job_writer_test.ts
+++ b/test/kept/job_writer_test.ts
@@ -4,10 +4,12 @@
 import { createMemoryTable } from "../fixtures/create_memory_table.ts";
 import { createOrder } from "../fixtures/create_scheduler_driver.ts";
 
+const readMostRowBytes = () => 65_536;
+
 describe("storing accepted jobs", () => {
   test("jobs that arrive while a write is on its way share the next", async () => {
     const table = createMemoryTable();
-    const writer = createJobWriter(table);
+    const writer = createJobWriter(table, readMostRowBytes);
 
     const outcomes = await Promise.all(
       ["a", "b", "c"].map((id) => writer.store(createOrder({ id }))),
@@ -19,7 +21,7 @@
 
   test("more jobs than one write may have are stored by several", async () => {
     const table = createMemoryTable();
-    const writer = createJobWriter(table);
+    const writer = createJobWriter(table, readMostRowBytes);
 
     const outcomes = await Promise.all(
       Array.from(
@@ -33,7 +35,7 @@
 
   test("a job that is there already does not keep the others from being stored", async () => {
     const table = createMemoryTable();
-    const writer = createJobWriter(table);
+    const writer = createJobWriter(table, readMostRowBytes);
     await writer.store(createOrder({ id: "b" }));
 
     const outcomes = await Promise.all(
@@ -49,7 +51,7 @@
       { type: "insert", key: "chivegrade-ends/a", value: {} },
     ]);
 
-    const outcome = await createJobWriter(table).store(
+    const outcome = await createJobWriter(table, readMostRowBytes).store(
       createOrder({ id: "a" }),
     );
 
@@ -61,7 +63,7 @@
     const table = createMemoryTable();
     table.faults.push("refused");
 
-    const outcome = await createJobWriter(table).store(
+    const outcome = await createJobWriter(table, readMostRowBytes).store(
       createOrder({ id: "a" }),
     );
 
@@ -72,7 +74,7 @@
     const table = createMemoryTable();
     table.faults.push("lost");
 
-    const outcome = await createJobWriter(table).store(
+    const outcome = await createJobWriter(table, readMostRowBytes).store(
       createOrder({ id: "a" }),
     );
 
@@ -83,10 +85,24 @@
     const table = createMemoryTable();
     table.faults.push("lost", "refused", "refused", "refused", "refused");
 
-    const outcome = await createJobWriter(table).store(
+    const outcome = await createJobWriter(table, readMostRowBytes).store(
       createOrder({ id: "a", waitMs: 100 }),
     );
 
     assert.equal(outcome, "unknown");
   });
+
+  test("a job larger than a row may be is refused, and the others are stored", async () => {
+    const table = createMemoryTable();
+    const writer = createJobWriter(table, () => 2_000);
+    const large = { ...createOrder({ id: "a" }), spec: "x".repeat(2_000) };
+
+    const outcomes = await Promise.all([
+      writer.store(large),
+      writer.store(createOrder({ id: "b" })),
+    ]);
+
+    assert.deepEqual(outcomes, ["tooLarge", "stored"]);
+    assert.equal(table.rows.has("chivegrade-jobs/a"), false);
+  });
 });
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { readFileSync, writeFileSync } from "node:fs";
 import { after, before, describe, test } from "node:test";
 import { callNode } from "../fixtures/call_node.ts";
 import { checkRuns } from "../fixtures/check_runs.ts";
@@ -132,6 +133,29 @@
     assert.equal(scrape.status, 200);
   });
 
+  test("a store that moves is followed when the settings say where, without a new start", async () => {
+    const [node] = system.nodes;
+    const door = await system.store.openDoor();
+    const text = readFileSync(node.settingsFile, "utf8");
+    const moved = text.replace(
+      /(?<=\[platform\]\naddress = ")[^"]+/,
+      door.address,
+    );
+    writeFileSync(node.settingsFile, moved);
+    node.child.kill("SIGHUP");
+    await waitFor(() => node.logs.some(({ event }) => event === "reloaded"));
+    node.storeDoor.isClosed = true;
+
+    const routes = ["/proofs/", "/spreads/", "/moved/"];
+    system.store.put("op", "config", createConfiguration(5, routes));
+
+    const path = `/moved/${createId(130)}`;
+    await waitFor(async () => {
+      const { status } = await postJob(node, "", { path });
+      return status === 200;
+    });
+  });
+
   test("the store's silence stops no job", async () => {
     system.store.faults.isSilent = true;
     await new Promise((resolve) => setTimeout(resolve, 1_500));
--- a/test/scheduler/placing_test.ts
+++ b/test/scheduler/placing_test.ts
@@ -1,5 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { canStartLate } from "../../src/decide/can_start_late.ts";
+import { computeRank } from "../../src/decide/compute_rank.ts";
+import { isLate } from "../../src/decide/is_late.ts";
+import type { SchedulerState } from "../../src/scheduler/scheduler_state.ts";
+import { createRandom } from "../../src/utils/create_random.ts";
 import {
   createSchedulerDriver,
   createStep,
@@ -151,4 +156,50 @@
 
     assert.equal(driver.starts.length, 2);
   });
+
+  test("of many jobs that wait, those start which an ordered look at all of them would start", () => {
+    for (let seed = 1; seed <= 30; seed += 1) {
+      const random = createRandom(seed);
+      const driver = createSchedulerDriver();
+      for (let index = 0; index < 40; index += 1) {
+        driver.submit({
+          id: `j${index}`,
+          priority: Math.floor(random() * 3),
+          ageMs: Math.floor(random() * 4_000),
+          steps: [createStep(1, {
+            room: {
+              cpu: 1_000 + Math.floor(random() * 9) * 1_000,
+              memoryMb: 1,
+              gpus: 0,
+            },
+          })],
+        });
+      }
+      const expected = placeNaively(driver.state, 16_000);
+      driver.addIdleEndpoint("e1");
+
+      assert.deepEqual(
+        driver.starts.map(({ task }) => task.job.order.id),
+        expected,
+        `seed ${seed}`,
+      );
+    }
+  });
 });
+
+/** The naive version: sorts all jobs and starts each that fits what is left of one endpoint. */
+function placeNaively(state: SchedulerState, cpu: number): string[] {
+  const placed: string[] = [];
+  const jobs = [...state.waiting].sort((one, other) =>
+    computeRank(one, 0) - computeRank(other, 0)
+  );
+  let free = cpu;
+  for (const job of jobs) {
+    const need = job.order.steps[0].room.cpu;
+    if (need > free) continue;
+    if (isLate(job, 0) && !canStartLate({ free, whole: cpu })) continue;
+    free -= need;
+    placed.push(job.order.id);
+  }
+  return placed;
+}
