One typed table of log events; metrics of queues, room, ages and the store; waiting jobs counted after a takeover

Ruled out: an old count at the VM (it is told for 2 s at most, and the count came from the scheduler that had just read the jobs). Change: src/log/log_events.ts names each event with its fields; calls are checked against it by the compiler, the log page by a test; every decision of the scheduler has a test of its line (test/scheduler/logged_decisions_test.ts). Metrics: store calls by kind and outcome, times of each step, delay of the loop, queues, free room, ages of the configuration, the scheduler's beat and the listings (docs/reference/metrics.md, OPERATIONS). A job counts as waiting until a start is known.

--- a/src/kept/save_stored_jobs.ts
+++ b/src/kept/save_stored_jobs.ts
@@ -5,6 +5,7 @@
 import { settleEnds } from "../scheduler/settle_ends.ts";
 import type { Table } from "../store/table.ts";
 import type { TableOperation } from "../store/table_operation.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EventLog } from "../vm/event_log.ts";
 import { ROW_KEYS } from "../vm/row_keys.ts";
@@ -72,8 +73,12 @@
   }
 
   function confirm({ job, marks, isEnd }: Save, revision: number): void {
-    if (isEnd) revisions.delete(job.order.id);
-    else revisions.set(job.order.id, revision);
+    const { id } = job.order;
+    if (isEnd) {
+      revisions.delete(id);
+      const tookMs = Math.round(readMonotonicMs() - job.endedMs);
+      log("endStored", { job: id, tookMs });
+    } else revisions.set(id, revision);
     settleEnds(state, marks);
   }
 
--- /dev/null
+++ b/src/log/event_fields.ts
@@ -0,0 +1,10 @@
+import type { LOG_EVENTS } from "./log_events.ts";
+import type { EventName } from "./event_name.ts";
+
+/** The fields of an event's line. */
+export type EventFields<Event extends EventName = EventName> = {
+  [Field in (typeof LOG_EVENTS)[Event][number]]?:
+    | string
+    | number
+    | boolean;
+};
--- a/src/metrics/create_registry.ts
+++ b/src/metrics/create_registry.ts
@@ -14,7 +14,7 @@
 export function createRegistry(): Registry {
   const counters = new Map<string, Map<string, number>>();
   const histograms = new Map<string, Histogram>();
-  const levels = new Map<string, () => number>();
+  const levels: (() => Record<string, number>)[] = [];
 
   function formatHistogram(name: string, histogram: Histogram): string[] {
     let sum = 0;
@@ -48,7 +48,10 @@
       if (index >= 0) histogram.counts[index] += 1;
     },
     setLevel: (name, read) => {
-      levels.set(name, read);
+      levels.push(() => ({ [name]: read() }));
+    },
+    addLevels: (read) => {
+      levels.push(read);
     },
     formatText: () => {
       const lines: string[] = [];
@@ -61,15 +64,22 @@
       for (const [name, histogram] of histograms) {
         lines.push(...formatHistogram(name, histogram));
       }
-      for (const [name, read] of levels) {
+      for (
+        const [name, value] of levels.flatMap((read) => Object.entries(read()))
+      ) {
         lines.push(`# TYPE ${PREFIX}${name} gauge`);
-        lines.push(`${PREFIX}${name} ${read()}`);
+        lines.push(`${PREFIX}${name} ${formatLevel(value)}`);
       }
       return lines.join("\n") + "\n";
     },
   };
 }
 
+/** The text format has a word of its own for what was never heard. */
+function formatLevel(value: number): string {
+  return value === Infinity ? "+Inf" : String(value);
+}
+
 function formatLabels(labels: Record<string, string>): string {
   const parts = Object.entries(labels)
     .map(([name, value]) => `${name}="${value.replace(/["\\\n]/g, "_")}"`);
--- a/src/metrics/registry.ts
+++ b/src/metrics/registry.ts
@@ -6,6 +6,8 @@
   observe(name: string, durationMs: number): void;
   /** Registers a level that is read when the metrics are. */
   setLevel(name: string, read: () => number): void;
+  /** Registers levels that are there only at times, all read when the metrics are. */
+  addLevels(read: () => Record<string, number>): void;
   /** All metrics in the text exposition format. */
   formatText(): string;
 };
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -28,6 +28,7 @@
     const isDone = adoptEnds(state, task);
     if (done.has(task.name) || isDone) {
       task.phase = "done";
+      job.isStarted = true;
       job.openCount -= 1;
       continue;
     }
@@ -38,6 +39,7 @@
       task.run = stranger?.run ?? 0;
       task.phase = "running";
       job.isBegun = true;
+      job.isStarted = true;
       addRun(endpoint, task);
       continue;
     }
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -32,6 +32,7 @@
     objectiveMs: arrivedMs + allowedMs,
     uselessMs: arrivedMs + USELESS_FACTOR * allowedMs,
     isBegun: false,
+    isStarted: false,
     endedMs: 0,
     unsettled: [],
   };
--- /dev/null
+++ b/src/scheduler/describe_levels.ts
@@ -0,0 +1,24 @@
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Describes the scheduler's queues, room and the age of what it believes, for the metrics. */
+export function describeLevels(
+  state: SchedulerState,
+  nowMs: number,
+): Record<string, number> {
+  const endpoints = [...state.endpoints.values()];
+  const usable = endpoints.filter(({ phase }) => phase === "usable");
+  const freeCpu = usable
+    .map(({ row, used }) => Math.max(0, row.room.cpu - used.cpu));
+  const ages = usable.map(({ listedMs }) => nowMs - listedMs);
+  return {
+    scheduler_jobs: state.jobs.size,
+    scheduler_waiting_jobs: state.waiting.size,
+    scheduler_unsaved_jobs: state.unsaved.size,
+    scheduler_running_tasks: endpoints
+      .reduce((sum, { runs }) => sum + runs.size, 0),
+    endpoints_known: endpoints.length,
+    endpoints_usable: usable.length,
+    endpoints_free_millicores: freeCpu.reduce((sum, free) => sum + free, 0),
+    endpoints_oldest_listing_ms: Math.round(Math.max(0, ...ages)),
+  };
+}
--- a/src/scheduler/effect.ts
+++ b/src/scheduler/effect.ts
@@ -1,3 +1,5 @@
+import type { EventName } from "../log/event_name.ts";
+import type { EventFields } from "../log/event_fields.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 
@@ -15,30 +17,4 @@
   | { type: "tellPlaced"; vms: string[]; task: string; endpointId: string }
   | { type: "tellDone"; vms: string[]; task: string }
   | { type: "tellEnded"; vms: string[]; jobId: string; outcome: JobOutcome }
-  | { type: "log"; event: SchedulerEvent; fields: LogValues };
-
-type SchedulerEvent =
-  | "jobAccepted"
-  | "jobEnded"
-  | "taskPlaced"
-  | "taskEnded"
-  | "taskRequeued"
-  | "startUnanswered"
-  | "endpointListed"
-  | "endpointSilent"
-  | "endpointLapsed"
-  | "endpointTaken"
-  | "endpointSlow"
-  | "taskMoved"
-  | "leaseNotExtended"
-  | "leaseEnded"
-  | "endpointReclaimed"
-  | "endpointReborn"
-  | "endpointRested"
-  | "endpointAdded"
-  | "endpointDraining"
-  | "endpointGone"
-  | "strangerStopped"
-  | "jobOrphaned";
-
-type LogValues = Record<string, string | number | boolean | undefined>;
+  | { type: "log"; event: EventName; fields: EventFields };
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -91,6 +91,7 @@
   task.expectedEndMs = 0;
   if (!job.isBegun) recordChange(state, job);
   job.isBegun = true;
+  job.isStarted = true;
   job.waitingCount -= 1;
   if (job.waitingCount === 0) state.waiting.delete(job);
   addRun(endpoint, task);
--- a/src/scheduler/record_event.ts
+++ b/src/scheduler/record_event.ts
@@ -1,13 +1,12 @@
-import type { Effect } from "./effect.ts";
+import type { EventName } from "../log/event_name.ts";
+import type { EventFields } from "../log/event_fields.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-type LogEffect = Extract<Effect, { type: "log" }>;
-
 /** Adds a line for the log to the effects. */
-export function recordEvent(
+export function recordEvent<Event extends EventName>(
   state: SchedulerState,
-  event: LogEffect["event"],
-  fields: LogEffect["fields"],
+  event: Event,
+  fields: EventFields<Event>,
 ): void {
   state.effects.push({ type: "log", event, fields });
 }
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -23,7 +23,8 @@
   uselessMs: number;
   /** Whether an endpoint may have begun a task. */
   isBegun: boolean;
-  /** Why the last attempt to place it found no room, for the log. */
+  /** Whether a task's start is known; an earlier scheduler may have begun a job that shows none. */
+  isStarted: boolean;
   outcome?: JobOutcome;
   endedMs: number;
   /** Ends of a stored job's runs that the store does not know of yet. */
--- a/src/vm/create_kept_view.ts
+++ b/src/vm/create_kept_view.ts
@@ -23,6 +23,7 @@
       readMonotonicMs() - countedMs > FRESH_MS
         ? undefined
         : pending[route] ?? 0,
+    readAgeMs: () => Math.round(readMonotonicMs() - heardMs),
     readBacklogMs: (service) =>
       readMonotonicMs() - heardMs > FRESH_MS ? 0 : backlogsMs[service] ?? 0,
   };
--- a/src/vm/event_log.ts
+++ b/src/vm/event_log.ts
@@ -1,5 +1,8 @@
+import type { EventName } from "../log/event_name.ts";
+import type { EventFields } from "../log/event_fields.ts";
+
 /** Writes one JSON line an event. */
-export type EventLog = (
-  event: string,
-  fields?: Record<string, string | number | boolean | undefined>,
+export type EventLog = <Event extends EventName>(
+  event: Event,
+  fields?: EventFields<Event>,
 ) => void;
--- a/src/vm/is_ordinary_event.ts
+++ b/src/vm/is_ordinary_event.ts
@@ -1,12 +1,27 @@
-type Fields = Record<string, string | number | boolean | undefined>;
+import type { EventFields } from "../log/event_fields.ts";
+import type { EventName } from "../log/event_name.ts";
 
 /** Events that tell of a request on its good way. */
-const ORDINARY = ["received", "jobAccepted", "taskPlaced"];
+const ORDINARY: EventName[] = [
+  "received",
+  "jobAccepted",
+  "taskPlaced",
+  "endStored",
+];
+/** Of these only the named outcomes do. */
+const GOOD_OUTCOMES: { [Event in EventName]?: string } = {
+  stored: "stored",
+  jobEnded: "completed",
+  answered: "completed",
+};
 
 /** Whether a log event tells nothing but that a request goes its good way. */
-export function isOrdinaryEvent(event: string, fields: Fields): boolean {
+export function isOrdinaryEvent(
+  event: EventName,
+  fields: EventFields,
+): boolean {
   if (ORDINARY.includes(event)) return true;
   if (event === "taskEnded") return fields.how === "done";
-  const isEnd = event === "jobEnded" || event === "answered";
-  return isEnd && fields.outcome === "completed";
+  const good = GOOD_OUTCOMES[event];
+  return good !== undefined && fields.outcome === good;
 }
--- a/src/vm/running_vm.ts
+++ b/src/vm/running_vm.ts
@@ -25,6 +25,8 @@
   isIdle(): boolean;
   /** Jobs whose callers wait here. */
   countOpen(): number;
+  /** Of the scheduler's part while this VM has it, and the ages of what this VM was told. */
+  readLevels(): Record<string, number>;
   /** Hands over what this VM holds and resolves when its callers have been answered. */
   drain(): Promise<void>;
   stop(): Promise<void>;
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -16,6 +16,8 @@
   beginEpoch(epoch: number): void;
   /** A beat that was begun then has been written: no other can have taken the role before it is stale. In ms. */
   confirmRole(beatMs: number): void;
+  /** Its queues, the endpoints' room and the links, for the metrics. */
+  readLevels(): Record<string, number>;
   /** Gives up at once: starts nothing more. */
   stop(): void;
 };
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -4,6 +4,7 @@
 import { computeBacklogs } from "../decide/compute_backlogs.ts";
 import { computeToken } from "./compute_token.ts";
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
+import { describeLevels } from "../scheduler/describe_levels.ts";
 import type { Effect } from "../scheduler/effect.ts";
 import { hasStoredJobs } from "../scheduler/has_stored_jobs.ts";
 import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
@@ -294,6 +295,11 @@
     attach,
     listSuccessors,
     resign,
+    readLevels: () => ({
+      ...describeLevels(state, readMonotonicMs()),
+      scheduler_epoch: epoch,
+      scheduler_links: links.size,
+    }),
     stop: () => {
       if (isStopped) return;
       isStopped = true;
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -144,6 +144,11 @@
     isDraining: () => isDraining,
     isIdle,
     countOpen: jobs.count,
+    readLevels: () => ({
+      scheduler_heard_age_ms: follower.kept.readAgeMs(),
+      waiting_for_store: writer.count(),
+      ...follower.findHost()?.readLevels(),
+    }),
     drain: stopGracefully,
     stop: async () => {
       follower.stop();
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -110,6 +110,23 @@
       /chivegrade_events_total\{event="answered",outcome="completed"\} \d+/,
     );
     assert.match(text, /chivegrade_answer_ms_bucket\{le="500"\} \d+/);
+    assert.match(
+      text,
+      /chivegrade_store_calls_total\{kind="GET \/rows-get",outcome="200"\} \d+/,
+    );
+    assert.match(text, /chivegrade_loop_delay_ms_count \d+/);
+    assert.match(text, /chivegrade_configuration_age_ms \d+/);
+  });
+
+  test("metrics of the scheduler tell its queues, the room and the age of what it believes", async () => {
+    const { metricsAddress } = system.findScheduler();
+    const reply = await fetch(`http://${metricsAddress}/metrics`);
+    const text = await reply.text();
+
+    assert.match(text, /chivegrade_scheduler_waiting_jobs 0/);
+    assert.match(text, /chivegrade_endpoints_usable 4/);
+    assert.match(text, /chivegrade_endpoints_free_millicores 56000/);
+    assert.match(text, /chivegrade_endpoints_oldest_listing_ms \d+/);
   });
 
   test("a reader of the logs that stands still costs no request", async () => {
--- /dev/null
+++ b/test/scheduler/logged_decisions_test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import type { EventName } from "../../src/log/event_name.ts";
+import { LOG_EVENTS } from "../../src/log/log_events.ts";
+import { loseEndpoint } from "../../src/scheduler/lose_endpoint.ts";
+import { loseVm } from "../../src/scheduler/lose_vm.ts";
+import { takeBackEndpoints } from "../../src/scheduler/take_back_endpoints.ts";
+import { createSchedulerDriver } from "../fixtures/create_scheduler_driver.ts";
+
+type Driver = ReturnType<typeof createSchedulerDriver>;
+
+/** Fields that a line has only at times. */
+const AT_TIMES = ["reason", "isKept", "vm", "strikes", "restMs", "isOver"];
+
+/** What leads to each decision of the scheduler, after one task of job `j` was started on `e1`. */
+const DECISIONS: { [Event in EventName]?: (driver: Driver) => void } = {
+  jobAccepted: () => {},
+  taskPlaced: () => {},
+  endpointAdded: () => {},
+  endpointListed: () => {},
+  startUnanswered: (driver) =>
+    driver.reply(driver.starts[0], { type: "unanswered" }),
+  taskEnded: (driver) => driver.end(driver.starts[0], "done", 1),
+  taskRequeued: (driver) => driver.end(driver.starts[0], "failed", 1),
+  jobEnded: (driver) => driver.end(driver.starts[0], "done", 1),
+  taskMoved: (driver) => showStandstill(driver),
+  endpointSlow: (driver) => showStandstill(driver),
+  jobOrphaned: (driver) => {
+    loseVm(driver.state, "vm-1", { how: "closed", nowMs: 0 });
+    driver.collect();
+  },
+  endpointDraining: (driver) => driver.updateRow("e1", { isDraining: true }),
+  endpointGone: (driver) => {
+    driver.addIdleEndpoint("e2");
+    driver.dropRow("e2");
+  },
+  endpointSilent: (driver) => driver.silence("e1"),
+  endpointLapsed: (driver) => {
+    driver.silence("e1");
+    driver.advanceTo(1_300);
+  },
+  endpointReborn: (driver) => driver.list("e1", { bornMs: 2 }),
+  endpointRested: (driver) => {
+    driver.end(driver.starts[0], "failed", 1);
+    driver.end(driver.starts[1], "done", 2);
+    for (const [index, id] of ["k", "l"].entries()) {
+      driver.submit({ id, maxAttempts: 1 });
+      driver.end(driver.starts[2 + index], "failed", 3 + index);
+    }
+  },
+  endpointTaken: (driver) => {
+    loseEndpoint(driver.state, "e1");
+    driver.collect();
+  },
+  endpointReclaimed: (driver) => {
+    loseEndpoint(driver.state, "e1");
+    takeBackEndpoints(driver.state, 200, new Set(["a"]));
+    driver.collect();
+  },
+  leaseNotExtended: (driver) => loseRole(driver),
+  leaseEnded: (driver) => {
+    loseRole(driver);
+    driver.advanceTo(2_800);
+  },
+  strangerStopped: (driver) => {
+    driver.list("e1", {
+      running: [{ task: "other.0.0.0", run: 1, progress: 0 }],
+    });
+    driver.advanceTo(500);
+  },
+};
+
+/** A run that has hardly begun after most of its time, beside a free endpoint. */
+function showStandstill(driver: Driver): void {
+  driver.reply(driver.starts[0], { type: "accepted" });
+  driver.addIdleEndpoint("e2");
+  driver.advanceTo(800);
+  const [{ task, run }] = driver.starts;
+  driver.list("e1", { running: [{ task: task.name, run, progress: 0.02 }] });
+  driver.advanceTo(820);
+}
+
+function loseRole(driver: Driver): void {
+  driver.addIdleEndpoint("e2");
+  driver.submitStored({ id: "k" });
+  driver.state.roleCertainUntilMs = 100;
+  driver.advanceTo(1_200);
+}
+
+function decide(event: EventName): Driver {
+  const driver = createSchedulerDriver();
+  driver.advanceTo(10);
+  driver.addIdleEndpoint("e1");
+  driver.submit({ id: "j" });
+  DECISIONS[event]?.(driver);
+  return driver;
+}
+
+describe("the log lines of the scheduler's decisions", () => {
+  for (const event of Object.keys(DECISIONS) as EventName[]) {
+    test(`${event} is logged with what it rested on`, () => {
+      const driver = decide(event);
+      const line = driver.events.find((logged) => logged.event === event);
+      const names: readonly string[] = LOG_EVENTS[event];
+      const fields = (line?.fields ?? {}) as Record<string, unknown>;
+
+      assert.ok(line, `only ${driver.events.map((one) => one.event)}`);
+      const missing = names.filter((name) =>
+        fields[name] === undefined && !AT_TIMES.includes(name)
+      );
+      assert.deepEqual(missing, []);
+      const badNumbers = Object.entries(fields)
+        .filter(([, value]) => Number.isNaN(value));
+      assert.deepEqual(badNumbers, []);
+    });
+  }
+});
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
+import { countPending } from "../../src/scheduler/count_pending.ts";
 import { hasStoredJobs } from "../../src/scheduler/has_stored_jobs.ts";
 import { loseVm } from "../../src/scheduler/lose_vm.ts";
 import {
@@ -228,6 +229,26 @@
     assert.equal(driver.starts.length, 2);
   });
 
+  test("jobs that an earlier scheduler left count as waiting unless a start of a task is known", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addEndpoint("e1");
+    driver.addEndpoint("e2");
+    driver.list("e1", {
+      running: [{ task: "running.0.0.0", run: 100_001, progress: 0.1 }],
+    });
+    const progress = { done: [false], failures: [] };
+    driver.submitStored({ id: "waits" }, { mayHaveRun: true });
+    driver.submitStored({ id: "running" }, { mayHaveRun: true });
+    driver.submitStored({ id: "begun" }, { mayHaveRun: true, progress });
+
+    assert.deepEqual(countPending(driver.state), { proofs: 1 });
+
+    driver.list("e2");
+    driver.advanceTo(20);
+    assert.equal(driver.starts.length, 2);
+    assert.deepEqual(countPending(driver.state), {});
+  });
+
   test("a lease ends where a job's runs are before another scheduler may start them again", () => {
     const driver = createSchedulerDriver();
     driver.addIdleEndpoint("e1");
