--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -2,7 +2,6 @@
 import type { TableRow } from "../store/table_row.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
-import type { BeatRow } from "./beat_row.ts";
 import { computeToken } from "./compute_token.ts";
 import { createKeptView } from "./create_kept_view.ts";
 import { createLinkSlot } from "./create_link_slot.ts";
@@ -14,10 +13,12 @@
 import type { LinkEvents } from "./link_events.ts";
 import type { OpenJobs } from "./open_jobs.ts";
 import { openRemoteLink } from "./open_remote_link.ts";
+import { readBeat } from "./read_beat.ts";
 import { ROW_KEYS } from "./row_keys.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
+import { takeSchedulerRow } from "./take_scheduler_row.ts";
 import type { VmPorts } from "./vm_ports.ts";
 import type { VmReport } from "./vm_report.ts";
 import type { VmSettings } from "./vm_settings.ts";
@@ -234,28 +235,25 @@
   }
 
   async function canTakeOver(): Promise<boolean> {
-    const scan = await ports.table.scan(ROW_KEYS.beat, 0);
-    storeOffsetMs = scan.atMs - readMonotonicMs();
+    const beat = await readBeat(ports.table);
+    storeOffsetMs = beat.storeOffsetMs;
     if (isAsked || !row) return true;
     if (row.value.vm === name) return true;
-    const beat = scan.rows[0]?.value as BeatRow | undefined;
     const found = vms.findIndex((vm) => vm.name === name);
-    const rank = found >= 0 ? found : vms.length;
-    const beatAgeMs = beat ? scan.atMs - beat.storeMs : undefined;
-    const decision = decideTakeover({
+    const seen = {
       how: lostHow,
       lostForMs: slot.computeLostMs(),
-      beatAgeMs,
-      rank,
+      beatAgeMs: beat.ageMs,
+      rank: found >= 0 ? found : vms.length,
       isDraining: options.readReport().isDraining,
       isNew: readMonotonicMs() - holderKnownMs < NEW_MS,
-    });
-    const { epoch } = row.value;
+    };
+    const decision = decideTakeover(seen);
     log("takeoverWeighed", {
-      epoch,
-      how: lostHow,
-      rank,
-      beatAgeMs: beatAgeMs && Math.round(beatAgeMs),
+      epoch: row.value.epoch,
+      how: seen.how,
+      rank: seen.rank,
+      beatAgeMs: beat.ageMs && Math.round(beat.ageMs),
       decision,
     });
     return decision === "takeOver";
@@ -263,28 +261,14 @@
 
   /** Writes this process as the holder of a new epoch; false when another was faster. */
   async function writeRow(): Promise<boolean> {
-    const epoch = (row?.value.epoch ?? 0) + 1;
-    const value: SchedulerRow = {
-      vm: name,
-      incarnation,
-      address: settings.peerAddress,
-      epoch,
-    };
-    const key = ROW_KEYS.scheduler;
-    const storeMs = readMonotonicMs() + storeOffsetMs;
-    const result = await ports.table.transact([
-      row
-        ? { type: "replace", key, value, revision: row.revision }
-        : { type: "insert", key, value },
-      // Shows with the same write that the new holder lives, so that no other doubts it.
-      { type: "write", key: ROW_KEYS.beat, value: { epoch, storeMs } },
-    ]);
-    if (result.type === "conflict") {
-      await watcher.readNow();
-      return false;
-    }
-    row = { key, value, revision: result.revision, updatedAtMs: result.atMs };
-    return true;
+    const written = await takeSchedulerRow(ports.table, {
+      holder: { vm: name, incarnation, address: settings.peerAddress },
+      row,
+      storeMs: readMonotonicMs() + storeOffsetMs,
+    });
+    if (written) row = written;
+    else await watcher.readNow();
+    return written !== undefined;
   }
 
   async function takeOver(): Promise<void> {
