Tests of the log lines of a node's decisions, each with the request's id and only its event's fields

Ruled out: a check by names alone, as it shows no line that is never written. Change: test/platform/log_lines_test.ts plays requests that are served, turned away, stored, cancelled and left, what a node takes up or refuses to, and a planned stop, and checks each line against the table of events.

--- /dev/null
+++ b/test/platform/log_lines_test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { appendFileSync, readFileSync, writeFileSync } from "node:fs";
+import { request } from "node:http";
+import { describe, test } from "node:test";
+import type { EventName } from "../../src/log/event_name.ts";
+import { LOG_EVENTS } from "../../src/log/log_events.ts";
+import { callNode } from "../fixtures/call_node.ts";
+import { createId } from "../fixtures/create_id.ts";
+import { postJob } from "../fixtures/post_job.ts";
+import { runOnNodes } from "../fixtures/run_on_nodes.ts";
+import type { TestNode } from "../fixtures/start_nodes.ts";
+import { waitFor } from "../fixtures/wait_for.ts";
+
+/** Waits until a node has logged an event, and returns its line. */
+async function waitForLine(
+  node: TestNode,
+  event: EventName,
+  fields: Record<string, unknown> = {},
+): Promise<TestNode["logs"][number]> {
+  const isWanted = (line: TestNode["logs"][number]) =>
+    line.event === event &&
+    Object.entries(fields).every(([name, value]) => line[name] === value);
+  await waitFor(() => node.logs.some(isWanted));
+  return node.logs.find(isWanted) as TestNode["logs"][number];
+}
+
+/** Every line has the fields of its event and no others. */
+function checkLines(nodes: TestNode[]): void {
+  for (
+    const { event, atMs, process: vm, ...fields } of nodes.flatMap(({ logs }) =>
+      logs
+    )
+  ) {
+    const names: readonly string[] | undefined = LOG_EVENTS[event as EventName];
+    assert.ok(names, `${event} is not in the table`);
+    assert.ok(Number(atMs) > 0 && typeof vm === "string");
+    const unknown = Object.keys(fields).filter((name) => !names.includes(name));
+    assert.deepEqual(unknown, [], event);
+  }
+}
+
+/** Posts a job and leaves before it is answered. */
+function leaveEarly({ callerAddress }: TestNode, id: string): void {
+  const [host, port] = callerAddress.split(":");
+  const headers = { host: "layout.example" };
+  const path = `/proofs/${id}`;
+  const sent = request({ host, port, method: "POST", path, headers });
+  sent.on("error", () => {});
+  sent.end(JSON.stringify({
+    spec: "{}",
+    bestEffort: true,
+    steps: [{ count: 1, cpu: 6_800, memMb: 64, estimateMs: 300 }],
+  }));
+  setTimeout(() => sent.destroy(), 100);
+}
+
+describe("the log lines of a node's decisions", () => {
+  test("a request's lines carry its id from receipt to answer, on every node", async () => {
+    await runOnNodes({ nodes: 2, workers: 2, runMs: 300 }, async (system) => {
+      const [node] = system.nodes;
+      const scheduler = system.findScheduler();
+      const job = createId(1);
+      await postJob(node, job);
+
+      await waitForLine(node, "received", { job, route: "/proofs/" });
+      await waitForLine(scheduler, "jobAccepted", { job, vm: node.name });
+      await waitForLine(scheduler, "taskPlaced", { task: `${job}.0.0.0` });
+      await waitForLine(scheduler, "jobEnded", { job, outcome: "completed" });
+      await waitForLine(node, "answered", { job, outcome: "completed" });
+
+      leaveEarly(node, createId(2));
+      await waitForLine(node, "callerLeft", { job: createId(2) });
+      checkLines(system.nodes);
+    });
+  });
+
+  test("a request that is turned away is logged with the reason and what it was decided on", async () => {
+    await runOnNodes({ nodes: 1, workers: 1, runMs: 50 }, async (system) => {
+      const [node] = system.nodes;
+      const step = { count: 1, cpu: 6_800, memMb: 64, estimateMs: 50 };
+      await postJob(node, createId(1), { body: { spec: "{}", steps: [] } });
+      await postJob(node, createId(2), {
+        body: { spec: "{}", steps: [{ ...step, gang: true }] },
+      });
+      await postJob(node, "", { path: `/nowhere/${createId(3)}` });
+      await postJob(node, createId(4), {
+        body: { spec: "{}", bestEffort: true, steps: [{ ...step, cpu: 1e6 }] },
+      });
+
+      await waitForLine(node, "jobInvalid", { job: createId(1) });
+      await waitForLine(node, "jobUnsupported", { found: "gang" });
+      await waitForLine(node, "routeUnknown", { version: 1 });
+      const job = createId(4);
+      await waitForLine(node, "answered", { job, reason: "neverFits" });
+      await waitForLine(node, "endpointRowsMalformed", { count: 1 });
+      checkLines(system.nodes);
+    });
+  });
+
+  test("a stored job's lines tell when it was stored, cancelled, and its end stored", async () => {
+    await runOnNodes({ nodes: 1, workers: 1, runMs: 50 }, async (system) => {
+      const [node] = system.nodes;
+      const job = createId(1);
+      const steps = [{ count: 1, cpu: 6_800, memMb: 64, estimateMs: 50 }];
+      await postJob(node, job, { body: { spec: "{}", steps } });
+      await waitForLine(node, "stored", { job, outcome: "stored" });
+      await waitForLine(node, "endStored", { job });
+
+      const path = `/proofs/${createId(2)}`;
+      await callNode(node, { method: "DELETE", path });
+      await waitForLine(node, "cancelAsked", { isKnown: false });
+
+      node.storeDoor.isClosed = true;
+      await callNode(node, { method: "GET", path });
+      await waitForLine(node, "storeNotAsked", { job: createId(2) });
+      for (const watch of ["configuration", "beat", "storedJobs"]) {
+        await waitForLine(node, "storeLost", { watch });
+      }
+      node.storeDoor.isClosed = false;
+      await waitForLine(node, "storeRegained", { watch: "configuration" });
+      checkLines(system.nodes);
+    });
+  });
+
+  test("what a node takes up, or refuses to, is logged", async () => {
+    await runOnNodes({ nodes: 1, workers: 1, runMs: 50 }, async (system) => {
+      const [node] = system.nodes;
+      system.store.put("op", "config", "not a configuration");
+      await waitForLine(node, "configurationMalformed", { version: 1 });
+
+      const text = readFileSync(node.settingsFile, "utf8");
+      appendFileSync(node.settingsFile, "[[");
+      node.child.kill("SIGHUP");
+      await waitForLine(node, "settingsRefused");
+      writeFileSync(node.settingsFile, text);
+      node.child.kill("SIGHUP");
+      await waitForLine(node, "reloaded", { changed: "" });
+      checkLines(system.nodes);
+    });
+  });
+
+  test("a planned stop is logged by who leaves, who takes over and who follows", async () => {
+    await runOnNodes({ nodes: 3, workers: 1, runMs: 50 }, async (system) => {
+      const old = system.findScheduler();
+      const others = system.nodes.filter((node) => node !== old);
+      old.child.kill("SIGTERM");
+      await old.exited;
+
+      await waitForLine(old, "stopping");
+      const { to } = await waitForLine(old, "schedulerResigned", {
+        reason: "stop",
+      });
+      await waitForLine(old, "drained", { jobs: 0 });
+      await waitForLine(old, "stopped");
+      const next = others.find(({ name }) => name === to) as TestNode;
+      const other = others.find((node) => node !== next) as TestNode;
+      await waitForLine(next, "takeoverAsked", { reason: "stop" });
+      await waitForLine(next, "schedulerBegan", { epoch: 2, isSolo: false });
+      await waitForLine(next, "vmLinked", { vm: other.name, epoch: 2 });
+      await waitForLine(other, "linked", { epoch: 2 });
+      checkLines(system.nodes);
+    });
+  });
+});
