--- a/stand_ins/node/start_store.ts
+++ b/stand_ins/node/start_store.ts
@@ -20,6 +20,10 @@
   losesAnswers: boolean;
   /** Histories before this version are dropped. */
   keptFrom: number;
+  /** Rows of a page of a reading. */
+  pageRows: number;
+  /** Called after each page that is not the last. */
+  afterPage?: () => void;
 };
 
 type Door = {
@@ -30,6 +34,8 @@
 
 /** Entries that one transaction may have, of all lists together. */
 const MOST_ENTRIES = 100;
+/** Rows that one page of a reading may have. */
+const MOST_PAGE_ROWS = 500;
 /** How often a waiting feed looks for changes, in ms. */
 const LOOK_MS = 5;
 
@@ -49,6 +55,7 @@
     isSilent: false,
     losesAnswers: false,
     keptFrom: 0,
+    pageRows: MOST_PAGE_ROWS,
   };
   let version = 0;
   const nameRow = ({ table, part, key }: Place) => `${table}|${part}|${key}`;
@@ -88,10 +95,14 @@
       .filter((row) => row.key >= (query.get("from") ?? ""))
       .filter((row) => row.key < (query.get("to") ?? "\uffff"))
       .sort((one, other) => (one.key < other.key ? -1 : 1));
-    return {
+    const page = found.slice(0, faults.pageRows);
+    const hasMore = page.length < found.length;
+    const reply = {
       status: 200,
-      body: { rows: found, hasMore: false, ...describeNow() },
+      body: { rows: page, hasMore, ...describeNow() },
     };
+    if (hasMore) faults.afterPage?.();
+    return reply;
   }
 
   async function readFeed(query: URLSearchParams) {
