Tests on runs beside a free endpoint share their set-up

Cause: two tests of uncertain runs built the same state line by line. No check is changed. Result: all tests of test/scheduler pass.

--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -229,7 +229,7 @@
     const other = start.endpointId === "e1" ? "e2" : "e1";
 
     driver.list(other, {
-      ended: [{ number: 1, task: "j.0.0.0", run: 7, how: "done" }],
+      ended: [{ number: 1, task: "j.0.0.0", run: 8, how: "done" }],
     });
 
     assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
@@ -246,7 +246,7 @@
     const other = start.endpointId === "e1" ? "e2" : "e1";
 
     driver.list(other, {
-      ended: [{ number: 1, task: "j.0.0.0", run: 7, how: "done" }],
+      ended: [{ number: 1, task: "j.0.0.0", run: 8, how: "done" }],
     });
     driver.end(start, "done", 1);
 
--- a/test/scheduler/uncertain_runs_test.ts
+++ b/test/scheduler/uncertain_runs_test.ts
@@ -5,6 +5,18 @@
   createStep,
 } from "../fixtures/create_scheduler_driver.ts";
 
+/** A run on `e1` that has taken most of its time, and a free endpoint. */
+function startBesideFreeEndpoint() {
+  const driver = createSchedulerDriver();
+  driver.advanceTo(10);
+  driver.addIdleEndpoint("e1");
+  driver.submit({ id: "j" });
+  driver.reply(driver.starts[0], { type: "accepted" });
+  driver.addIdleEndpoint("e2");
+  driver.advanceTo(800);
+  return driver;
+}
+
 describe("runs whose fate is not known", () => {
   test("a start without an answer is stopped, and the task starts elsewhere only when the stop has taken effect", () => {
     const driver = createSchedulerDriver();
@@ -127,13 +139,7 @@
   });
 
   test("a run that stands still is started again elsewhere once its stop has taken effect", () => {
-    const driver = createSchedulerDriver();
-    driver.advanceTo(10);
-    driver.addIdleEndpoint("e1");
-    driver.submit({ id: "j" });
-    driver.reply(driver.starts[0], { type: "accepted" });
-    driver.addIdleEndpoint("e2");
-    driver.advanceTo(800);
+    const driver = startBesideFreeEndpoint();
     const [{ task, run }] = driver.starts;
 
     driver.list("e1", {
@@ -149,13 +155,7 @@
   });
 
   test("a run on a good way is left alone", () => {
-    const driver = createSchedulerDriver();
-    driver.advanceTo(10);
-    driver.addIdleEndpoint("e1");
-    driver.submit({ id: "j" });
-    driver.reply(driver.starts[0], { type: "accepted" });
-    driver.addIdleEndpoint("e2");
-    driver.advanceTo(800);
+    const driver = startBesideFreeEndpoint();
     const [{ task, run }] = driver.starts;
 
     driver.list("e1", { running: [{ task: task.name, run, progress: 0.7 }] });
