--- a/src/kept/forget_ended_jobs.ts
+++ b/src/kept/forget_ended_jobs.ts
@@ -1,5 +1,4 @@
 import type { Table } from "../store/table.ts";
-import { ROW_KEYS } from "../vm/row_keys.ts";
 import type { KeptEndRow } from "./kept_end_row.ts";
 import { KEPT_KEYS } from "./kept_keys.ts";
 
@@ -9,7 +8,12 @@
 /** Removes the ends of jobs that nobody may ask for any more; tells how many. */
 export async function forgetEndedJobs(
   table: Table,
-  options: { endedBeforeMs: number; roleRevision: number },
+  options: {
+    endedBeforeMs: number;
+    /** The row that gives this process the role. */
+    roleKey: string;
+    roleRevision: number;
+  },
 ): Promise<number> {
   const { rows } = await table.scan(KEPT_KEYS.ends, 0);
   const old = rows.filter(({ value }) =>
@@ -20,7 +24,7 @@
     await table.transact([
       {
         type: "check",
-        key: ROW_KEYS.scheduler,
+        key: options.roleKey,
         revision: options.roleRevision,
       },
       ...keys.slice(from, from + MOST_ROWS)
--- a/src/kept/keep_stored_jobs.ts
+++ b/src/kept/keep_stored_jobs.ts
@@ -16,7 +16,9 @@
   /** Runs a decision and carries out what follows from it. */
   act: (decide: (nowMs: number) => void) => void;
   log: EventLog;
-  /** Revision of the row that gives this process the role. */
+  /** Key of the row that gives this process the role. */
+  roleKey: string;
+  /** Its revision. */
   readRoleRevision: () => number;
   /** Called when the role has gone on to another process. */
   superseded: () => void;
@@ -37,6 +39,7 @@
     try {
       const jobs = await forgetEndedJobs(table, {
         endedBeforeMs: Date.now() - options.readKeepEndsMs(),
+        roleKey: options.roleKey,
         roleRevision: options.readRoleRevision(),
       });
       if (jobs > 0) log("endedJobsForgotten", { jobs });
--- a/src/kept/save_stored_jobs.ts
+++ b/src/kept/save_stored_jobs.ts
@@ -8,7 +8,6 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EventLog } from "../vm/event_log.ts";
-import { ROW_KEYS } from "../vm/row_keys.ts";
 import { encodeEnd } from "./encode_end.ts";
 import { encodeProgress } from "./encode_progress.ts";
 import { KEPT_KEYS } from "./kept_keys.ts";
@@ -31,7 +30,9 @@
   table: Table;
   state: SchedulerState;
   log: EventLog;
-  /** Revision of the row that gives this process the role. */
+  /** Key of the row that gives this process the role. */
+  roleKey: string;
+  /** Its revision. */
   readRoleRevision: () => number;
   /** Called when the role has gone on to another process. */
   superseded: () => void;
@@ -88,7 +89,7 @@
     const result = await table.transact([
       {
         type: "check",
-        key: ROW_KEYS.scheduler,
+        key: options.roleKey,
         revision: options.readRoleRevision(),
       },
       ...saves.flatMap(createOperations),
@@ -99,7 +100,7 @@
       return;
     }
     const keys = new Set(result.keys);
-    if (keys.has(ROW_KEYS.scheduler)) options.superseded();
+    if (keys.has(options.roleKey)) options.superseded();
     for (const save of saves) await settleConflict(save, keys);
   }
 
--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -38,6 +38,8 @@
   jobOrphaned: ["job", "vm", "graceMs"],
   jobEnded: ["job", "outcome", "reason", "tookMs", "objectiveMs", "open"],
   endStored: ["job", "tookMs"],
+  jobPassed: ["job", "group", "places", "waitedMs"],
+  jobHandedOn: ["job", "group"],
   callerLeft: ["job", "epoch"],
   answered: ["job", "outcome", "reason", "epoch", "tookMs"],
   // Stored jobs at the scheduler
@@ -83,6 +85,9 @@
   takeoverAsked: ["reason"],
   takeoverWeighed: ["epoch", "how", "rank", "beatAgeMs", "decision"],
   takeoverFailed: ["message"],
+  groupJoined: ["group", "groups"],
+  guestLinked: ["group", "vm", "epoch"],
+  guestLinkDropped: ["group", "reason"],
   linked: ["epoch", "jobs"],
   linkNotOpened: ["vm", "epoch", "message"],
   linkDropped: ["epoch", "reason"],
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -10,6 +10,7 @@
 import { retryTask } from "./retry_task.ts";
 import { reviewUnaccounted } from "./review_unaccounted.ts";
 import { reviewWaiting } from "./review_waiting.ts";
+import { tryPassJob } from "./try_pass_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -35,6 +36,13 @@
   reviewUnaccounted(state, nowMs);
   reviewWaiting(state, nowMs);
   placeTasks(state, nowMs);
+  passWaiting(state, nowMs);
+}
+
+/** Passes on what other groups have room for by now. */
+function passWaiting(state: SchedulerState, nowMs: number): void {
+  if (state.otherRooms.length === 0) return;
+  for (const job of [...state.waiting]) tryPassJob(state, job, nowMs);
 }
 
 function clearStoppedRuns(
@@ -108,4 +116,9 @@
   for (const [task, { heardMs }] of state.earlierEnds) {
     if (nowMs - heardMs > REMEMBER_MS) state.earlierEnds.delete(task);
   }
+  for (const [id, { passedMs }] of state.passed) {
+    // In the order in which they were passed.
+    if (nowMs - passedMs <= REMEMBER_MS) break;
+    state.passed.delete(id);
+  }
 }
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -8,6 +8,8 @@
 
 /** An answer this many times later than its objective is worth nothing to the caller. */
 const USELESS_FACTOR = 3;
+/** Weight of the latest job in the mean room of a task. */
+const TASK_ROOM_WEIGHT = 0.05;
 
 /** Creates a job with its tasks, none of which has begun. */
 export function createJob(
@@ -19,6 +21,7 @@
     order.steps,
     (step) => predictRunMs(state, order.route, step),
   );
+  learnTaskRoom(state, order);
   const arrivedMs = nowMs - order.ageMs;
   const allowedMs = order.stretch * chainMs + order.slackMs;
   const job: ScheduledJob = {
@@ -46,6 +49,14 @@
   return job;
 }
 
+function learnTaskRoom(state: SchedulerState, order: JobOrder): void {
+  const [step] = order.steps;
+  if (!step) return;
+  const known = state.taskCpu.get(order.service) ?? step.room.cpu;
+  const mean = known + (step.room.cpu - known) * TASK_ROOM_WEIGHT;
+  state.taskCpu.set(order.service, mean);
+}
+
 function createTask(
   job: ScheduledJob,
   step: number,
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -10,6 +10,8 @@
     /** Default: false. */
     isSolo?: boolean;
     /** Default: false. */
+    isGrouped?: boolean;
+    /** Default: false. */
     hasKeptJobs?: boolean;
     /** Default: true. */
     areKeptJobsRead?: boolean;
@@ -20,6 +22,7 @@
   return {
     token,
     isSolo: options.isSolo ?? false,
+    isGrouped: options.isGrouped ?? false,
     limits: options.limits,
     beganMs: options.nowMs,
     jobs: new Map(),
@@ -33,6 +36,9 @@
     missing: new Map(
       options.knownEndpoints?.map((id) => [id, options.nowMs]),
     ),
+    otherRooms: [],
+    passed: new Map(),
+    taskCpu: new Map(),
     routes: new Map(),
     effects: [],
   };
--- a/src/scheduler/effect.ts
+++ b/src/scheduler/effect.ts
@@ -17,4 +17,5 @@
   | { type: "tellPlaced"; vms: string[]; task: string; endpointId: string }
   | { type: "tellDone"; vms: string[]; task: string }
   | { type: "tellEnded"; vms: string[]; jobId: string; outcome: JobOutcome }
+  | { type: "tellPassed"; vms: string[]; jobId: string; group: string }
   | { type: "log"; event: EventName; fields: EventFields };
--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -21,6 +21,8 @@
   ageMs: number;
   /** How long the caller waits for the answer, from the request on, in ms. */
   waitMs: number;
+  /** Another group's scheduler had no room for it; it is not passed on again. Default: false. */
+  wasPassed?: boolean;
   /** The job is stored, and its caller was answered when it was: it is run to its end whoever waits. Default: false. */
   isKept?: boolean;
 };
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -1,5 +1,6 @@
 import type { EarlierEnds } from "./earlier_ends.ts";
 import type { Effect } from "./effect.ts";
+import type { GroupRoom } from "../decide/group_room.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerLimits } from "./scheduler_limits.ts";
@@ -10,6 +11,8 @@
   token: number;
   /** Serves one VM's callers alone, on its share of the endpoints, while it reaches no other scheduler. */
   isSolo: boolean;
+  /** Other groups have schedulers of their own, to which a caller may come back. */
+  isGrouped: boolean;
   limits: SchedulerLimits;
   /** When this process became the scheduler, in ms. */
   beganMs: number;
@@ -29,10 +32,17 @@
   unsaved: Set<ScheduledJob>;
   /** Endpoints that left the list without having been heard, with the time, in ms: others may reach them still. */
   missing: Map<string, number>;
+  /** Room of the other groups as last heard, less what was passed to them since. */
+  otherRooms: GroupRoom[];
+  /** Jobs that were passed to another group, by id: the same id again goes there as well. */
+  passed: Map<string, PassedJob>;
+  /** Processor room that a task asks for on average, by service, in thousandths of a core. */
+  taskCpu: Map<string, number>;
   /** Learnt run time relative to the callers' estimates, by route. */
   routes: Map<string, RouteKnowledge>;
   /** Collected for the caller of each decision, which carries them out. */
   effects: Effect[];
 };
 
+type PassedJob = { group: string; passedMs: number };
 type RouteKnowledge = { meanMs: number; samples: number };
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -1,3 +1,4 @@
+import { countPlaces } from "./count_places.ts";
 import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
 import { findRefusal } from "./find_refusal.ts";
@@ -9,6 +10,7 @@
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import { releaseSteps } from "./release_steps.ts";
+import { tryPassJob } from "./try_pass_job.ts";
 
 /** Takes a job from a VM; the same id again joins the job that is there. */
 export function submitJob(
@@ -22,6 +24,17 @@
     addVm(state, known, vm);
     return;
   }
+  const earlier = order.wasPassed ? undefined : state.passed.get(order.id);
+  if (earlier) {
+    const { group } = earlier;
+    state.effects.push({
+      type: "tellPassed",
+      vms: [vm],
+      jobId: order.id,
+      group,
+    });
+    return;
+  }
   const job = createJob(state, order, nowMs);
   job.vms.add(vm);
   state.jobs.set(order.id, job);
@@ -46,6 +59,9 @@
     endJob(state, job, { outcome: { type: "completed" }, nowMs });
     return;
   }
+  const isTooFull = state.otherRooms.length > 0 &&
+    countPlaces(state, order) < job.waitingCount;
+  if (isTooFull && tryPassJob(state, job, nowMs)) return;
   placeTasks(state, nowMs);
 }
 
--- a/src/vm/create_open_jobs.ts
+++ b/src/vm/create_open_jobs.ts
@@ -4,7 +4,6 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import type { EventLog } from "./event_log.ts";
 import { findGivenUp } from "./find_given_up.ts";
-import type { LinkEvents } from "./link_events.ts";
 import type { OpenJob } from "./open_job.ts";
 import type { OpenJobs } from "./open_jobs.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
@@ -13,19 +12,34 @@
 const REVIEW_MS = 50;
 
 /** Keeps the jobs whose callers wait at this VM, and hands them to whoever is the scheduler. */
-export function createOpenJobs(log: EventLog): OpenJobs {
+export function createOpenJobs(
+  log: EventLog,
+  /** Called when a job is to go to another group that has no link yet. */
+  guestWanted: (group: string) => void = () => {},
+): OpenJobs {
   const jobs = new Map<string, OpenJob>();
-  let link: SchedulerLink | undefined;
+  let ownLink: SchedulerLink | undefined;
+  const guestLinks = new Map<string, SchedulerLink>();
+  /** Whether other groups may have jobs of callers here. */
+  let hasGuestJobs = false;
   const timer = setInterval(review, REVIEW_MS);
 
+  function findLink({ group }: OpenJob): SchedulerLink | undefined {
+    return group === undefined ? ownLink : guestLinks.get(group);
+  }
+
   function hand(job: OpenJob): void {
-    if (!link) return;
+    const link = findLink(job);
+    if (!link) {
+      if (job.group !== undefined) guestWanted(job.group);
+      return;
+    }
     const isResubmitted = job.handedTo !== 0;
     const { wasSolo } = job;
     job.handedTo = link.epoch;
     job.wasSolo ||= link.isSolo;
     const ageMs = readMonotonicMs() - job.receivedMs;
-    link.submit({ ...job.order, ageMs }, {
+    link.submit({ ...job.order, ageMs, wasPassed: job.group !== undefined }, {
       isResubmitted,
       wasSolo,
       done: [...job.done],
@@ -49,9 +63,12 @@
   }
 
   function review(): void {
-    if (link) return;
+    if (ownLink && !hasGuestJobs) return;
     const nowMs = readMonotonicMs();
+    hasGuestJobs = false;
     for (const job of [...jobs.values()]) {
+      if (job.group !== undefined) hasGuestJobs = true;
+      if (findLink(job)) continue;
       const outcome = findGivenUp(job, nowMs);
       if (outcome) end(job, outcome);
     }
@@ -86,7 +103,7 @@
     if (job.answer.length > 0) return;
     jobs.delete(id);
     log("callerLeft", { job: id, epoch: job.handedTo });
-    link?.abandon(id);
+    findLink(job)?.abandon(id);
   }
 
   function findJobOf(task: string): OpenJob | undefined {
@@ -94,19 +111,29 @@
     return parsed && jobs.get(parsed.jobId);
   }
 
-  const events: Pick<LinkEvents, "placed" | "done" | "ended"> = {
+  const events: OpenJobs["events"] = {
     placed: (task, endpointId) => findJobOf(task)?.placed.set(task, endpointId),
     done: (task) => findJobOf(task)?.done.add(task),
     ended: (id, outcome) => {
       const job = jobs.get(id);
       if (job) end(job, outcome);
     },
+    passed: (id, group) => {
+      const job = jobs.get(id);
+      if (!job) return;
+      // It has not begun there, so for the next scheduler it is a new one.
+      job.handedTo = 0;
+      job.group = group;
+      hasGuestJobs = true;
+      log("jobHandedOn", { job: id, group });
+      hand(job);
+    },
   };
 
   function cancel(id: string): boolean {
     const job = jobs.get(id);
     if (!job) return false;
-    link?.abandon(id);
+    findLink(job)?.abandon(id);
     const mayHaveRun = job.handedTo !== 0;
     end(
       job,
@@ -124,13 +151,20 @@
       for (const id of [...jobs.keys()]) cancel(id);
     },
     events,
-    setLink: (next) => {
-      link = next;
-      if (link) { for (const job of jobs.values()) hand(job); }
+    setLink: (next, group) => {
+      if (group === undefined) ownLink = next;
+      else if (next) guestLinks.set(group, next);
+      else guestLinks.delete(group);
+      if (!next) return;
+      for (const job of jobs.values()) if (job.group === group) hand(job);
     },
     isEmpty: () => jobs.size === 0,
     count: () => jobs.size,
-    hasLink: () => link !== undefined,
+    hasLink: () => ownLink !== undefined,
+    listGuestGroups: () => {
+      const groups = [...jobs.values()].map(({ group }) => group);
+      return new Set(groups.filter((group) => group !== undefined));
+    },
     close: () => clearInterval(timer),
   };
 }
--- a/src/vm/decide_takeover.ts
+++ b/src/vm/decide_takeover.ts
@@ -20,12 +20,15 @@
   /** Place in the order of succession, from 0. */
   rank: number;
   isDraining: boolean;
+  /** Whether there has never been a scheduler. */
+  isVacant: boolean;
   /** Whether this VM has heard of the scheduler only a moment ago. */
   isNew: boolean;
 }): "takeOver" | "wait" {
   const silentMs = seen.isNew ? STALE_NEW_MS : STALE_MS;
   const staleMs = seen.how === "closed" ? STALE_REFUSED_MS : silentMs;
   const rankMs = (seen.rank + (seen.isDraining ? 5 : 0)) * RANK_MS;
+  if (seen.isVacant) return seen.lostForMs > rankMs ? "takeOver" : "wait";
   const ageMs = seen.beatAgeMs ?? seen.lostForMs;
   return ageMs > staleMs + rankMs ? "takeOver" : "wait";
 }
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -2,11 +2,12 @@
 import type { TableRow } from "../store/table_row.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
+import { computeSuccessionRank } from "../decide/compute_succession_rank.ts";
 import { computeToken } from "./compute_token.ts";
-import { createKeptView } from "./create_kept_view.ts";
 import { createLinkSlot } from "./create_link_slot.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
+import { formatRowKeys } from "./format_row_keys.ts";
 import { followSchedulerRow } from "./follow_scheduler_row.ts";
 import type { KeptView } from "./kept_view.ts";
 import type { LinkedVm } from "./linked_vm.ts";
@@ -14,7 +15,6 @@
 import type { OpenJobs } from "./open_jobs.ts";
 import { openRemoteLink } from "./open_remote_link.ts";
 import { readBeat } from "./read_beat.ts";
-import { ROW_KEYS } from "./row_keys.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
@@ -29,6 +29,8 @@
 const LOOK_MS = 20;
 /** A VM that reaches no scheduler for this long serves its callers alone, in ms; a takeover is faster. */
 const SOLO_MS = 700;
+/** The same beside other groups while the store answers, in ms: the succession is faster, and a group's pool cut into shares serves few. */
+const GROUPED_SOLO_MS = 2_500;
 /** Time between two raises of the epoch, in ms: the endpoints answer the first within it. */
 const RAISE_MS = 700;
 /** The same for a process that has just begun, when all may be starting, in ms. */
@@ -38,10 +40,14 @@
 /** A scheduler that lost this part of the endpoints to a later one gives up. */
 const SUPERSEDED_SHARE = 0.5;
 
-/** Keeps this VM linked to the scheduler, takes over when there is none, and serves alone when neither can be. */
+/** Keeps this VM linked to its group's scheduler, takes over when there is none, and serves alone when neither can be. */
 export function followScheduler(options: {
   settings: VmSettings;
   incarnation: string;
+  /** The group of this VM's data centre. */
+  group: string;
+  /** Whether other groups have schedulers of their own. */
+  isGrouped: boolean;
   ports: VmPorts;
   jobs: OpenJobs;
   log: EventLog;
@@ -58,20 +64,23 @@
   }) => SchedulerHost;
   /** Told of the scheduler's configuration version, which may be ahead of ours. */
   heardVersion: (version: number) => void;
+  /** Told what the scheduler says of stored jobs. */
+  kept: KeptView;
+  /** Told of the holder of each group's role. */
+  holderFound: (key: string, row: SchedulerRow) => void;
 }): {
   findHost(): SchedulerHost | undefined;
   /** The holder of the role, as far as this VM knows. */
   findRow(): SchedulerRow | undefined;
-  kept: KeptView;
   stop(): void;
 } {
-  const { settings, incarnation, ports, jobs, log } = options;
+  const { settings, incarnation, ports, jobs, log, kept } = options;
+  const keys = formatRowKeys(options.group);
   const { name } = settings;
   let row: TableRow<SchedulerRow> | undefined;
   let host: SchedulerHost | undefined;
   let solo: SchedulerHost | undefined;
   const slot = createLinkSlot(jobs, log);
-  const kept = createKeptView();
   /** Until a scheduler has said otherwise there may be stored jobs. */
   let hasKeptJobs = true;
   let isLeaving = false;
@@ -94,7 +103,13 @@
   let storeOffsetMs = 0;
   let isStopped = false;
 
-  const watcher = followSchedulerRow(ports.table, { log, changed: takeRow });
+  const watcher = followSchedulerRow(ports.table, {
+    log,
+    changed: (found) => {
+      options.holderFound(found.key, found.value);
+      if (found.key === keys.scheduler) takeRow(found);
+    },
+  });
 
   function takeRow(next: TableRow<SchedulerRow>): void {
     if (row && next.revision <= row.revision) return;
@@ -126,7 +141,7 @@
   const events: LinkEvents = {
     ...jobs.events,
     status: (status) => {
-      vms = status.successors;
+      if (status.successors) vms = status.successors;
       for (const vm of vms) peers.set(vm.name, vm);
       slot.setEpoch(status.epoch);
       kept.take(status);
@@ -174,7 +189,7 @@
   /** A peer knows a later holder than the store could tell this VM. */
   function takeRedirect(value: SchedulerRow): void {
     if (row && value.epoch <= row.value.epoch) return;
-    const key = ROW_KEYS.scheduler;
+    const key = keys.scheduler;
     row = { key, value, revision: 0, updatedAtMs: 0 };
     learnHolder();
     log("schedulerKnown", { vm: value.vm, epoch: value.epoch, from: "peer" });
@@ -235,22 +250,26 @@
   }
 
   async function canTakeOver(): Promise<boolean> {
-    const beat = await readBeat(ports.table);
+    const beat = await readBeat(ports.table, keys.beat);
     storeOffsetMs = beat.storeOffsetMs;
-    if (isAsked || !row) return true;
-    if (row.value.vm === name) return true;
-    const found = vms.findIndex((vm) => vm.name === name);
+    if (isAsked) return true;
+    if (row?.value.vm === name) return true;
+    const rank = computeSuccessionRank({
+      place: vms.findIndex((vm) => vm.name === name),
+      strength: settings.strength,
+    });
     const seen = {
       how: lostHow,
       lostForMs: slot.computeLostMs(),
       beatAgeMs: beat.ageMs,
-      rank: found >= 0 ? found : vms.length,
+      rank,
+      isVacant: row === undefined,
       isDraining: options.readReport().isDraining,
       isNew: readMonotonicMs() - holderKnownMs < NEW_MS,
     };
     const decision = decideTakeover(seen);
     log("takeoverWeighed", {
-      epoch: row.value.epoch,
+      epoch: row?.value.epoch,
       how: seen.how,
       rank: seen.rank,
       beatAgeMs: beat.ageMs && Math.round(beat.ageMs),
@@ -264,6 +283,7 @@
     const written = await takeSchedulerRow(ports.table, {
       holder: { vm: name, incarnation, address: settings.peerAddress },
       row,
+      keys,
       storeMs: readMonotonicMs() + storeOffsetMs,
     });
     if (written) row = written;
@@ -368,9 +388,14 @@
   }
   run();
 
+  function readSoloMs(): number {
+    const isLeftToOthers = options.isGrouped && !watcher.isLost();
+    return isLeftToOthers ? GROUPED_SOLO_MS : SOLO_MS;
+  }
+
   /** Apart from the attempts at linking, as those wait for a store or a peer that may be silent. */
   const soloTimer = setInterval(() => {
-    const limitMs = slot.hasEverBeenLinked() ? SOLO_MS : FIRST_SOLO_MS;
+    const limitMs = slot.hasEverBeenLinked() ? readSoloMs() : FIRST_SOLO_MS;
     const isLost = !slot.find() && slot.computeLostMs() > limitMs;
     if (isLost && !isStopped) beginSolo();
   }, AGAIN_MS);
@@ -378,7 +403,6 @@
   return {
     findHost: () => host,
     findRow: () => row?.value,
-    kept,
     stop: () => {
       isStopped = true;
       clearInterval(soloTimer);
--- a/src/vm/follow_scheduler_row.ts
+++ b/src/vm/follow_scheduler_row.ts
@@ -2,8 +2,8 @@
 import type { TableRow } from "../store/table_row.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EventLog } from "./event_log.ts";
-import { ROW_KEYS } from "./row_keys.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
+import { SCHEDULER_ROWS_PREFIX } from "./scheduler_rows_prefix.ts";
 import type { WatchedTable } from "./watched_table.ts";
 
 /** How long one watch waits for a change, in ms. */
@@ -11,11 +11,12 @@
 /** Pause after a watch that failed, in ms. */
 const AGAIN_MS = 200;
 
-/** Watches the row that says who places tasks. */
+/** Watches the rows that say who places tasks, one a group. */
 export function followSchedulerRow(
   table: WatchedTable,
   options: {
     log: EventLog;
+    /** Told of each group's row; `row.key` tells the group. */
     changed: (row: TableRow<SchedulerRow>) => void;
   },
 ): {
@@ -29,13 +30,16 @@
   let isLost = false;
 
   function take(rows: TableRow[]): void {
-    const row = rows.find((one) => one.key === ROW_KEYS.scheduler);
-    if (row) options.changed(row as TableRow<SchedulerRow>);
+    for (const row of rows) {
+      if (row.value !== undefined) {
+        options.changed(row as TableRow<SchedulerRow>);
+      }
+    }
   }
 
   async function readNow(): Promise<void> {
     try {
-      const scan = await table.scan(ROW_KEYS.scheduler, 0);
+      const scan = await table.scan(SCHEDULER_ROWS_PREFIX, 0);
       revision = Math.max(revision, scan.revision);
       take(scan.rows);
       if (isLost) options.log("storeRegained", { watch: "scheduler" });
@@ -50,7 +54,7 @@
   async function follow(): Promise<void> {
     while (!isStopped) {
       try {
-        const scan = await table.watch(ROW_KEYS.scheduler, {
+        const scan = await table.watch(SCHEDULER_ROWS_PREFIX, {
           sinceRevision: revision,
           waitMs: WATCH_MS,
         });
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -2,7 +2,6 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import type { BeatRow } from "./beat_row.ts";
 import type { EventLog } from "./event_log.ts";
-import { ROW_KEYS } from "./row_keys.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 import type { WatchedTable } from "./watched_table.ts";
 
@@ -14,10 +13,12 @@
 /** Writes the scheduler's beat to the store, and resigns while the store is lost to this VM. */
 export function keepBeat(options: {
   table: WatchedTable;
+  /** Of the group's beat. */
+  key: string;
   log: EventLog;
   findHost: () => SchedulerHost | undefined;
 }): { stop(): void } {
-  const { table, log, findHost } = options;
+  const { table, key, log, findHost } = options;
   let offsetMs: number | undefined;
   let writtenMs = readMonotonicMs();
   let revision: number | undefined;
@@ -28,16 +29,20 @@
   async function write(host: SchedulerHost): Promise<void> {
     const { epoch } = host;
     if (offsetMs === undefined || revision === undefined) {
-      const scan = await table.scan(ROW_KEYS.beat, 0);
+      const scan = await table.scan(key, 0);
       offsetMs = scan.atMs - readMonotonicMs();
-      const known = scan.rows[0]?.value as BeatRow | undefined;
+      const row = scan.rows.find((one) => one.key === key);
+      const known = row?.value as BeatRow | undefined;
       // A later holder beats; this one learns of it from the scheduler's row.
       if (known && known.epoch > epoch) return;
-      revision = scan.rows[0]?.revision ?? 0;
+      revision = row?.revision ?? 0;
     }
     const beganMs = readMonotonicMs();
-    const value: BeatRow = { epoch, storeMs: beganMs + offsetMs };
-    const key = ROW_KEYS.beat;
+    const value: BeatRow = {
+      epoch,
+      storeMs: beganMs + offsetMs,
+      summary: host.describeSummary(),
+    };
     const result = await table.transact([
       revision === 0
         ? { type: "insert", key, value }
--- a/src/vm/open_job.ts
+++ b/src/vm/open_job.ts
@@ -8,6 +8,8 @@
   receivedMs: number;
   /** The callers' answers. */
   answer: ((outcome: JobOutcome) => void)[];
+  /** The group whose scheduler runs it; absent for this VM's own. */
+  group?: string;
   /** Epoch of the scheduler that has it; 0 before one had it. */
   handedTo: number;
   /** Whether this VM has served it alone. */
--- a/src/vm/open_jobs.ts
+++ b/src/vm/open_jobs.ts
@@ -11,10 +11,13 @@
   cancel(jobId: string): boolean;
   /** Answers all callers: this VM ends. */
   giveUp(): void;
-  events: Pick<LinkEvents, "placed" | "done" | "ended">;
-  /** Hands all jobs to another scheduler, or keeps them while there is none. */
-  setLink(link: SchedulerLink | undefined): void;
+  events: Pick<LinkEvents, "placed" | "done" | "ended" | "passed">;
+  /** Hands the jobs of this VM's own group, or of the named one, to another scheduler, or keeps them while there is none. */
+  setLink(link: SchedulerLink | undefined, group?: string): void;
+  /** Whether there is a scheduler of this VM's own group. */
   hasLink(): boolean;
+  /** The other groups that have jobs of callers here. */
+  listGuestGroups(): Set<string>;
   isEmpty(): boolean;
   count(): number;
   close(): void;
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -14,8 +14,12 @@
 
 /** How often the scheduler hears from this VM, in ms. */
 const BEAT_MS = 100;
+/** The same for another group's scheduler, in ms. */
+const GUEST_BEAT_MS = 200;
 /** A scheduler that was not heard for this long is taken as lost, in ms; several of its beats. */
 const SILENT_MS = 350;
+/** The same for another group's scheduler, in ms. */
+const GUEST_SILENT_MS = 600;
 /** Longest wait for the first word of a scheduler, in ms. */
 const OPEN_MS = 400;
 /** Longest wait for the last words of a scheduler that this VM leaves, in ms. */
@@ -32,6 +36,8 @@
   address: string;
   events: LinkEvents;
   readReport: () => VmReport;
+  /** Whether the scheduler is another group's. Default: false. */
+  isGuest?: boolean;
   lost: (how: "closed" | "silent") => void;
   /** Ends the attempt: another process is the scheduler now. */
   signal: AbortSignal;
@@ -43,6 +49,8 @@
     "grpc.use_local_subchannel_pool": 1,
   });
   const stream = (client as unknown as { Attach(): Stream }).Attach();
+  const { isGuest = false } = options;
+  const silentMs = isGuest ? GUEST_SILENT_MS : SILENT_MS;
   let heardMs = readMonotonicMs();
   let isOpen = false;
   let isClosed = false;
@@ -68,7 +76,7 @@
     send({ type: "report", report: options.readReport() });
   }
 
-  const beater = setInterval(sendReport, BEAT_MS);
+  const beater = setInterval(sendReport, isGuest ? GUEST_BEAT_MS : BEAT_MS);
   let watcher: ReturnType<typeof setInterval>;
   sendReport();
 
@@ -81,7 +89,7 @@
     }
 
     watcher = setInterval(() => {
-      const limitMs = isOpen ? SILENT_MS : OPEN_MS;
+      const limitMs = isOpen ? silentMs : OPEN_MS;
       if (readMonotonicMs() - heardMs > limitMs) lose("silent");
     }, LOOK_MS);
 
@@ -137,6 +145,7 @@
       { type: "ended" },
       ({ jobId, outcome }) => events.ended(jobId, outcome),
     )
+    .with({ type: "passed" }, ({ jobId, group }) => events.passed(jobId, group))
     .with(
       { type: "resignation" },
       ({ reason }) => events.resignation(reason),
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -1,4 +1,5 @@
 import type { Attachment } from "./attachment.ts";
+import type { GroupSummary } from "./group_summary.ts";
 import type { LinkEvents } from "./link_events.ts";
 
 /** The scheduler while this process is it. */
@@ -16,6 +17,10 @@
   beginEpoch(epoch: number): void;
   /** A beat that was begun then has been written: no other can have taken the role before it is stale. In ms. */
   confirmRole(beatMs: number): void;
+  /** What other groups' schedulers are told of this one. */
+  describeSummary(): GroupSummary;
+  /** Takes what the other groups' schedulers have told. */
+  takeSummaries(summaries: Map<string, GroupSummary>): void;
   /** Its queues, the endpoints' room and the links, for the metrics. */
   readLevels(): Record<string, number>;
   /** Gives up at once: starts nothing more. */
--- a/src/vm/scheduler_message.ts
+++ b/src/vm/scheduler_message.ts
@@ -9,6 +9,7 @@
   | { type: "placed"; task: string; endpointId: string }
   | { type: "done"; task: string }
   | { type: "ended"; jobId: string; outcome: JobOutcome }
+  | { type: "passed"; jobId: string; group: string }
   /** This process is not the scheduler; here is whom it knows as the one. */
   | { type: "redirect"; to: SchedulerRow }
   /** Asks the VM to take over at once. */
--- a/src/vm/scheduler_row.ts
+++ b/src/vm/scheduler_row.ts
@@ -1,4 +1,4 @@
-/** The row that says who places tasks. */
+/** The row that says who places the tasks of a group. */
 export type SchedulerRow = {
   vm: string;
   /** One life of the VM's process. */
--- a/src/vm/scheduler_status.ts
+++ b/src/vm/scheduler_status.ts
@@ -4,8 +4,8 @@
 export type SchedulerStatus = {
   epoch: number;
   configurationVersion: number;
-  /** The linked VMs, in the order in which they would take over. */
-  successors: LinkedVm[];
+  /** The group's linked VMs, in the order in which they would take over; absent when they are as last told. */
+  successors?: LinkedVm[];
   /** Whether there are stored jobs, so that ends of unknown runs must not be forgotten. */
   hasKeptJobs: boolean;
   /** Stored jobs of which no task has begun, by route; absent until they have been read. */
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -90,6 +90,7 @@
     placed: (task, endpointId) => send({ type: "placed", task, endpointId }),
     done: (task) => send({ type: "done", task }),
     ended: (jobId, outcome) => send({ type: "ended", jobId, outcome }),
+    passed: (jobId, group) => send({ type: "passed", jobId, group }),
     status: (status) => send({ type: "status", status }),
     left: () => send({ type: "left" }),
     resignation: (reason) => send({ type: "resignation", reason }),
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -4,8 +4,10 @@
 import { computeBacklogs } from "../decide/compute_backlogs.ts";
 import { computeToken } from "./compute_token.ts";
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
+import { describeRooms } from "../scheduler/describe_rooms.ts";
 import { describeLevels } from "../scheduler/describe_levels.ts";
 import type { Effect } from "../scheduler/effect.ts";
+import { isTooWeak } from "../decide/is_too_weak.ts";
 import { hasStoredJobs } from "../scheduler/has_stored_jobs.ts";
 import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
 import { loseVm } from "../scheduler/lose_vm.ts";
@@ -22,9 +24,11 @@
 import type { Attachment } from "./attachment.ts";
 import { createEndpointSessions } from "./create_endpoint_sessions.ts";
 import type { EventLog } from "./event_log.ts";
+import type { GroupSummary } from "./group_summary.ts";
 import type { LinkedVm } from "./linked_vm.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
+import type { SchedulerStatus } from "./scheduler_status.ts";
 import type { VmPorts } from "./vm_ports.ts";
 import type { VmReport } from "./vm_report.ts";
 import type { VmSettings } from "./vm_settings.ts";
@@ -33,15 +37,28 @@
 const TICK_MS = 20;
 /** Time between two readings of the endpoints' list, in ms; well inside the time a leaving one may still get tasks. */
 const READ_ENDPOINTS_MS = 400;
+/** The same beside other groups, whose schedulers read the same large list, in ms. */
+const GROUPED_READ_MS = 1_000;
 /** A VM that was lost for this long is taken as gone for good, and its endpoints come back, in ms. */
 const LOST_VM_MS = 15_000;
-/** How often each VM hears from the scheduler, in ms. */
+/** How often each VM of the group hears from the scheduler, in ms. */
 const BEAT_MS = 100;
+/** VMs of other groups hear it at each of so many beats. */
+const GUEST_BEATS = 2;
+/** A scheduler hands over for its weakness at the earliest this long after it began, in ms: until VMs have linked and the runs are known. */
+const SETTLE_MS = 3_000;
 /** For this long after a beat no other can have taken the role, in ms: less than the age at which a beat is stale. */
 const ROLE_MS = 280;
 /** A list that lost entries while the store was away is trusted again after this, in ms. */
 const LIST_SETTLE_MS = 2_500;
 
+type Link = {
+  events: LinkEvents;
+  report?: VmReport;
+  /** Which version of the list of VMs it has been told. */
+  toldVersion: number;
+};
+
 /** Starts placing tasks under a token that this process was just given. */
 export function startSchedulerHost(options: {
   epoch: number;
@@ -58,10 +75,16 @@
   configurationVersion: () => number;
   /** Whether there were stored jobs when this VM last heard of a scheduler. */
   hasKeptJobs: boolean;
+  /** Whether stored jobs are run by this group. */
+  runsKeptJobs: boolean;
+  /** Key of the row that gives this process the role. */
+  roleKey: string;
   /** Ids of the endpoints that this VM's last list had. */
   knownEndpoints: string[];
   /** Revision of the row that gives this process the role. */
   readRoleRevision: () => number;
+  /** Whether other groups have schedulers of their own. Default: false. */
+  isGrouped?: boolean;
 }): SchedulerHost {
   const { settings, ports, log, isSolo } = options;
   let { epoch } = options;
@@ -71,11 +94,19 @@
     isSolo,
     hasKeptJobs: options.hasKeptJobs,
     // A VM that serves alone leaves stored jobs to the scheduler.
-    areKeptJobsRead: isSolo,
+    areKeptJobsRead: isSolo || !options.runsKeptJobs,
+    isGrouped: options.isGrouped,
     knownEndpoints: options.knownEndpoints,
   });
   if (!isSolo) state.roleCertainUntilMs = readMonotonicMs() + ROLE_MS;
-  const links = new Map<string, { events: LinkEvents; report?: VmReport }>();
+  const beganMs = readMonotonicMs();
+  const links = new Map<string, Link>();
+  let beats = 0;
+  /** The VMs as last told, and how often they have changed. */
+  let told = { vms: [] as LinkedVm[], text: "", version: 0 };
+  let resignedMs = 0;
+  /** What the group that runs stored jobs has told, if that is another. */
+  let keptElsewhere: GroupSummary | undefined;
   const lostVms = new Map(
     options.vms.map(({ name, dataCentre }) => [
       name,
@@ -125,6 +156,9 @@
       .with({ type: "tellEnded" }, ({ vms, jobId, outcome }) => {
         for (const vm of vms) links.get(vm)?.events.ended(jobId, outcome);
       })
+      .with({ type: "tellPassed" }, ({ vms, jobId, group }) => {
+        for (const vm of vms) links.get(vm)?.events.passed(jobId, group);
+      })
       .with({ type: "log" }, ({ event, fields }) => log(event, fields))
       .exhaustive();
   }
@@ -141,19 +175,21 @@
         storeLostMs = readMonotonicMs();
         log("endpointsNotRead", { message: readError(thrown).message });
       }
-      await waitMs(READ_ENDPOINTS_MS);
+      await waitMs(options.isGrouped ? GROUPED_READ_MS : READ_ENDPOINTS_MS);
     }
   }
 
   function attach(vm: string, events: LinkEvents): Attachment {
-    const link: { events: LinkEvents; report?: VmReport } = { events };
+    const link: Link = { events, toldVersion: 0 };
     links.set(vm, link);
     log("vmLinked", { vm, epoch, links: links.size });
     const isCurrent = () => links.get(vm) === link;
     return {
       report: (report) => {
+        const isFirst = link.report === undefined;
         link.report = report;
         lostVms.delete(vm);
+        if (isFirst) sendStatus(link, describeStatus());
       },
       submit: (order, progress) =>
         act((nowMs) => submitJob(state, order, { vm, nowMs, progress })),
@@ -166,12 +202,13 @@
         act((nowMs) => loseVm(state, vm, { how: "silent", nowMs }));
         events.left();
         // VMs leave only for a later scheduler.
-        if (vm !== settings.name) options.superseded(1);
+        const isGuest = link.report?.isGuest === true;
+        if (vm !== settings.name && !isGuest) options.superseded(1);
       },
       lost: (how) => {
         if (!isCurrent()) return;
         links.delete(vm);
-        if (link.report && !link.report.isDraining) {
+        if (link.report && !link.report.isDraining && !link.report.isGuest) {
           const { dataCentre } = link.report;
           lostVms.set(vm, { dataCentre, lostMs: readMonotonicMs() });
         }
@@ -184,11 +221,13 @@
   function listSuccessors(): string[] {
     return [...links.entries()]
       .filter(([name, { report }]) =>
-        name !== settings.name && report && !report.isDraining
+        name !== settings.name && report && !report.isDraining &&
+        !report.isGuest
       )
       .sort(([, one], [, other]) =>
         Number(other.report?.isStoreReachable) -
-        Number(one.report?.isStoreReachable)
+          Number(one.report?.isStoreReachable) ||
+        readStrength(other) - readStrength(one)
       )
       .map(([name]) => name);
   }
@@ -239,16 +278,57 @@
     return state.hasKeptJobs ? countPending(state) : {};
   }
 
-  function sendBeat(): void {
-    const status = {
+  function describeStatus(): SchedulerStatus {
+    const vms = listVms();
+    const text = JSON.stringify(vms);
+    if (text !== told.text) told = { vms, text, version: told.version + 1 };
+    return {
       epoch,
-      successors: listVms(),
       configurationVersion: options.configurationVersion(),
       hasKeptJobs: hasStoredJobs(state),
-      pending: listPending(),
-      backlogsMs: state.hasKeptJobs ? computeBacklogs(state) : {},
+      ...(options.runsKeptJobs
+        ? {
+          pending: listPending(),
+          backlogsMs: state.hasKeptJobs ? computeBacklogs(state) : {},
+        }
+        : {
+          pending: keptElsewhere?.pending,
+          backlogsMs: keptElsewhere?.backlogsMs ?? {},
+        }),
     };
-    for (const { events } of links.values()) events.status(status);
+  }
+
+  function sendStatus(link: Link, status: SchedulerStatus): void {
+    const isToldVms = link.toldVersion === told.version;
+    const mayTellVms = link.report !== undefined && !link.report.isGuest;
+    if (isToldVms || !mayTellVms) {
+      link.events.status(status);
+      return;
+    }
+    link.toldVersion = told.version;
+    link.events.status({ ...status, successors: told.vms });
+  }
+
+  function sendBeat(): void {
+    beats += 1;
+    const status = describeStatus();
+    for (const link of links.values()) {
+      const isDue = !link.report?.isGuest || beats % GUEST_BEATS === 0;
+      if (isDue) sendStatus(link, status);
+    }
+    reviewStrength();
+  }
+
+  /** Hands over once to a VM that can carry more. */
+  function reviewStrength(): void {
+    const nowMs = readMonotonicMs();
+    if (isSolo || nowMs - Math.max(beganMs, resignedMs) < SETTLE_MS) return;
+    const [best] = listSuccessors();
+    const report = links.get(best)?.report;
+    if (!report?.isStoreReachable) return;
+    if (!isTooWeak(settings.strength, report.strength)) return;
+    resignedMs = nowMs;
+    resign("weaker");
   }
 
   /** Where no VM reaches the store, none can take the role. */
@@ -256,7 +336,9 @@
     const isAnyLost = [...lostVms.values()].some(({ lostMs }) =>
       nowMs - lostMs < LOST_VM_MS
     );
-    const others = [...links].filter(([vm]) => vm !== settings.name);
+    const others = [...links].filter(([vm, { report }]) =>
+      vm !== settings.name && !report?.isGuest
+    );
     return !isAnyLost && others.length > 0 &&
       others.every(([, { report }]) => report?.isStoreReachable === false);
   }
@@ -273,7 +355,9 @@
 
   const ticker = setInterval(() => act(advance), TICK_MS);
   const beater = setInterval(sendBeat, BEAT_MS);
-  const storedJobs = isSolo ? undefined : keepStoredJobs({
+  const runsKeptJobs = !isSolo && options.runsKeptJobs;
+  const storedJobs = !runsKeptJobs ? undefined : keepStoredJobs({
+    roleKey: options.roleKey,
     table: ports.table,
     state,
     act,
@@ -296,6 +380,20 @@
     attach,
     listSuccessors,
     resign,
+    describeSummary: () => ({
+      rooms: describeRooms(state),
+      pending: options.runsKeptJobs ? listPending() : undefined,
+      backlogsMs: options.runsKeptJobs && state.hasKeptJobs
+        ? computeBacklogs(state)
+        : undefined,
+    }),
+    takeSummaries: (summaries) => {
+      state.otherRooms = [...summaries].flatMap(([group, { rooms }]) =>
+        rooms.map((room) => ({ ...room, group }))
+      );
+      const keeper = [...summaries.values()].find(({ pending }) => pending);
+      if (!options.runsKeptJobs) keptElsewhere = keeper;
+    },
     readLevels: () => ({
       ...describeLevels(state, readMonotonicMs()),
       scheduler_epoch: epoch,
@@ -313,3 +411,7 @@
     },
   };
 }
+
+function readStrength({ report }: Link): number {
+  return report?.strength ?? 0;
+}
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -8,8 +8,18 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import { isBacklogFull } from "../decide/is_backlog_full.ts";
+import { computeSuccessionRank } from "../decide/compute_succession_rank.ts";
 import { computeShare } from "../decide/compute_share.ts";
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
+import { findGroup } from "../group/find_group.ts";
+import type { GroupLayout } from "../group/group_layout.ts";
+import { agreeLayout } from "../group/agree_layout.ts";
+import { listGroups } from "../group/list_groups.ts";
+import { createGuestLinks } from "./create_guest_links.ts";
+import { createKeptView } from "./create_kept_view.ts";
+import { followSummaries } from "./follow_summaries.ts";
+import { formatRowKeys } from "./format_row_keys.ts";
+import type { SchedulerRow } from "./scheduler_row.ts";
 import { keepEndpoints } from "./keep_endpoints.ts";
 import { createOpenJobs } from "./create_open_jobs.ts";
 import type { EventLog } from "./event_log.ts";
@@ -40,19 +50,24 @@
 }): Promise<RunningVm> {
   const { settings, ports, log } = options;
   const incarnation = crypto.randomUUID();
-  const jobs = createOpenJobs(log);
+  const jobs = createOpenJobs(log, (group) => guests?.request(group));
+  const kept = createKeptView();
+  /** The holders of the groups' roles, by the key of their row. */
+  const holders = new Map<string, SchedulerRow>();
+  let follower: ReturnType<typeof followScheduler> | undefined;
+  let beat: ReturnType<typeof keepBeat> | undefined;
+  let summaries: ReturnType<typeof followSummaries> | undefined;
+  let guests: ReturnType<typeof createGuestLinks> | undefined;
+  let isStopped = false;
   let isDraining = false;
   let linkedMs = readMonotonicMs();
 
-  const beat = keepBeat({
-    table: ports.table,
-    log,
-    findHost: () => follower.findHost(),
-  });
   const readReport = (): VmReport => ({
     name: settings.name,
     address: settings.peerAddress,
     dataCentre: settings.dataCentre,
+    strength: settings.strength,
+    isGuest: false,
     isDraining,
     isStoreReachable: options.isStoreReachable(),
     configurationVersion: options.configurationVersion(),
@@ -64,7 +79,7 @@
   );
   function storeJob(order: JobOrder): Promise<StoreOutcome> {
     if (!options.isStoreReachable()) return Promise.resolve("notStored");
-    const backlogMs = follower.kept.readBacklogMs(order.service);
+    const backlogMs = kept.readBacklogMs(order.service);
     if (isBacklogFull(backlogMs)) return Promise.resolve("busy");
     const rows = endpoints.read();
     const canFit = rows.length === 0 ||
@@ -79,33 +94,74 @@
   }
   const server = await startLinkServer(
     settings.peerAddress,
-    () => follower.findHost(),
-    () => follower.findRow(),
+    () => follower?.findHost(),
+    () => follower?.findRow(),
   );
-  const follower = followScheduler({
-    settings,
-    incarnation,
-    ports,
-    jobs,
+  const agreement = agreeLayout({
+    ...ports,
+    rank: computeSuccessionRank({ place: -1, strength: settings.strength }),
     log,
-    readReport,
-    heardVersion: options.heardVersion,
-    startHost: ({ soloAmong, ...start }) =>
-      startSchedulerHost({
-        ...start,
-        isSolo: soloAmong !== undefined,
-        knownEndpoints: soloAmong ? [] : endpoints.read().map(({ id }) => id),
-        settings,
-        ports: soloAmong
-          ? {
-            ...ports,
-            readEndpoints: () => readShare(endpoints.read(), soloAmong),
-          }
-          : ports,
-        log,
-        configurationVersion: options.configurationVersion,
-      }),
   });
+  agreement.agreed.then((layout) => {
+    if (!isStopped) joinGroup(layout);
+  });
+
+  function joinGroup(layout: GroupLayout): void {
+    const group = findGroup(layout, settings.dataCentre);
+    const groups = listGroups(layout);
+    const keys = formatRowKeys(group);
+    const others = groups.filter((other) => other !== group);
+    const selectRows = (rows: EndpointRow[]) =>
+      rows.filter((row) => findGroup(layout, row.dataCentre) === group);
+    log("groupJoined", { group, groups: groups.length });
+    const findHost = () => follower?.findHost();
+    beat = keepBeat({ table: ports.table, key: keys.beat, log, findHost });
+    summaries = followSummaries({
+      table: ports.table,
+      log,
+      groups: others,
+      findHost,
+    });
+    guests = createGuestLinks({
+      jobs,
+      findRow: (other) => holders.get(formatRowKeys(other).scheduler),
+      readReport,
+      log,
+    });
+    follower = followScheduler({
+      settings,
+      incarnation,
+      group,
+      isGrouped: others.length > 0,
+      ports,
+      jobs,
+      log,
+      kept,
+      readReport,
+      heardVersion: options.heardVersion,
+      holderFound: (key, row) => holders.set(key, row),
+      startHost: ({ soloAmong, ...start }) =>
+        startSchedulerHost({
+          ...start,
+          isSolo: soloAmong !== undefined,
+          isGrouped: others.length > 0,
+          runsKeptJobs: group === groups[0],
+          roleKey: keys.scheduler,
+          knownEndpoints: soloAmong
+            ? []
+            : selectRows(endpoints.read()).map(({ id }) => id),
+          settings,
+          ports: {
+            ...ports,
+            readEndpoints: soloAmong
+              ? () => readShare(endpoints.read(), soloAmong)
+              : async () => selectRows(await ports.readEndpoints()),
+          },
+          log,
+          configurationVersion: options.configurationVersion,
+        }),
+    });
+  }
 
   function isReady(): boolean {
     const nowMs = readMonotonicMs();
@@ -120,7 +176,7 @@
   async function stopGracefully(): Promise<void> {
     isDraining = true;
     log("stopping", { jobs: jobs.count() });
-    follower.findHost()?.resign("stop");
+    follower?.findHost()?.resign("stop");
     const untilMs = readMonotonicMs() + settings.stopWithinMs;
     while (!isIdle() && readMonotonicMs() < untilMs) {
       await waitMs(LOOK_MS);
@@ -138,21 +194,25 @@
     store: storeJob,
     readState: (id) => readJobState(ports.table, id),
     cancelStored: (id) => cancelStoredJob(ports.table, id),
-    countPending: follower.kept.countPending,
-    readBacklogMs: follower.kept.readBacklogMs,
+    countPending: kept.countPending,
+    readBacklogMs: kept.readBacklogMs,
     isReady,
     isDraining: () => isDraining,
     isIdle,
     countOpen: jobs.count,
     readLevels: () => ({
-      scheduler_heard_age_ms: follower.kept.readAgeMs(),
+      scheduler_heard_age_ms: kept.readAgeMs(),
       waiting_for_store: writer.count(),
-      ...follower.findHost()?.readLevels(),
+      ...follower?.findHost()?.readLevels(),
     }),
     drain: stopGracefully,
     stop: async () => {
-      follower.stop();
-      beat.stop();
+      isStopped = true;
+      agreement.stop();
+      follower?.stop();
+      beat?.stop();
+      summaries?.stop();
+      guests?.stop();
       endpoints.stop();
       jobs.close();
       await server.stop();
--- a/src/vm/vm_settings.ts
+++ b/src/vm/vm_settings.ts
@@ -4,6 +4,8 @@
 export type VmSettings = {
   name: string;
   dataCentre: string;
+  /** Cores' worth of processor time. */
+  strength: number;
   /** Where this process takes links from other VMs, if it is the scheduler. */
   peerAddress: string;
   /** A planned stop must be over by then, in ms. */
--- a/test/decide/succession_test.ts
+++ b/test/decide/succession_test.ts
@@ -12,6 +12,7 @@
   beatAgeMs: 100,
   rank: 0,
   isDraining: false,
+  isVacant: false,
   isNew: false,
 } as const;
 
@@ -38,6 +39,15 @@
     assert.equal(decideTakeover({ ...seen, isDraining: true }), "wait");
   });
 
+  test("where there has never been a scheduler a weak VM lets others go first", () => {
+    const seen = { ...SEEN, isVacant: true, beatAgeMs: undefined };
+    const after = (lostForMs: number, rank: number) =>
+      decideTakeover({ ...seen, lostForMs, rank });
+    assert.equal(after(1, 0), "takeOver");
+    assert.equal(after(300, 8), "wait");
+    assert.equal(after(1_000, 8), "takeOver");
+  });
+
   test("tokens of VMs that serve alone lie between two epochs", () => {
     assert.ok(computeToken(3, 0) < computeToken(3, 1));
     assert.ok(computeToken(3, 200) < computeToken(4, 0));
--- a/test/kept/saving_test.ts
+++ b/test/kept/saving_test.ts
@@ -24,6 +24,7 @@
   driver.submitStored({ id: "j", steps: [createStep(2)] });
   const seen = { superseded: 0 };
   const saver = saveStoredJobs({
+    roleKey: "chivegrade/scheduler",
     table,
     state: driver.state,
     log: () => {},
--- /dev/null
+++ b/test/vm/passed_jobs_test.ts
@@ -0,0 +1,195 @@
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, mock, test } from "node:test";
+import type { JobOrder } from "../../src/scheduler/job_order.ts";
+import type { JobOutcome } from "../../src/scheduler/job_outcome.ts";
+import type { KnownProgress } from "../../src/scheduler/known_progress.ts";
+import { createGuestLinks } from "../../src/vm/create_guest_links.ts";
+import { createOpenJobs } from "../../src/vm/create_open_jobs.ts";
+import type { LinkEvents } from "../../src/vm/link_events.ts";
+import type { openRemoteLink } from "../../src/vm/open_remote_link.ts";
+import type { SchedulerLink } from "../../src/vm/scheduler_link.ts";
+import type { SchedulerRow } from "../../src/vm/scheduler_row.ts";
+import type { VmReport } from "../../src/vm/vm_report.ts";
+import { createOrder } from "../fixtures/create_scheduler_driver.ts";
+
+type Taken = { order: JobOrder; progress: KnownProgress };
+
+/** A link that keeps what it is handed. */
+function createLink(epoch: number) {
+  const taken: Taken[] = [];
+  const abandoned: string[] = [];
+  let isClosed = false;
+  const link: SchedulerLink = {
+    epoch,
+    isSolo: false,
+    submit: (order, progress) => taken.push({ order, progress }),
+    abandon: (id) => abandoned.push(id),
+    leave: () => Promise.resolve(),
+    close: () => {
+      isClosed = true;
+    },
+  };
+  return { link, taken, abandoned, isClosed: () => isClosed };
+}
+
+const REPORT: VmReport = {
+  name: "vm-1",
+  address: "127.0.0.1:1",
+  dataCentre: "a",
+  strength: 1,
+  isGuest: false,
+  isDraining: false,
+  isStoreReachable: true,
+  configurationVersion: 1,
+};
+
+describe("jobs that were passed to another group", () => {
+  let nowMs = 0;
+  let rows: Record<string, SchedulerRow> = {};
+  let opened: {
+    address: string;
+    report: VmReport;
+    events: LinkEvents;
+    lost: (how: "closed" | "silent") => void;
+    link: ReturnType<typeof createLink>;
+  }[] = [];
+  let jobs: ReturnType<typeof createOpenJobs>;
+  let guests: ReturnType<typeof createGuestLinks>;
+  let own: ReturnType<typeof createLink>;
+  let outcomes: JobOutcome[] = [];
+
+  async function wait(ms: number): Promise<void> {
+    for (let gone = 0; gone < ms; gone += 50) {
+      nowMs += 50;
+      mock.timers.tick(50);
+      for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
+    }
+  }
+
+  const openLink: typeof openRemoteLink = (options) => {
+    const link = createLink(10 + opened.length);
+    opened.push({
+      address: options.address,
+      report: options.readReport(),
+      events: options.events,
+      lost: options.lost,
+      link,
+    });
+    return Promise.resolve(link.link);
+  };
+
+  beforeEach(() => {
+    nowMs = 1_000;
+    opened = [];
+    outcomes = [];
+    rows = {
+      north: { vm: "n-1", incarnation: "x", address: "n:1", epoch: 10 },
+    };
+    mock.timers.enable({ apis: ["setTimeout", "setInterval"] });
+    mock.method(performance, "now", () => nowMs);
+    jobs = createOpenJobs(() => {}, (group) => guests.request(group));
+    guests = createGuestLinks({
+      jobs,
+      findRow: (group) => rows[group],
+      readReport: () => REPORT,
+      log: () => {},
+      openLink,
+    });
+    own = createLink(1);
+    jobs.setLink(own.link);
+  });
+
+  afterEach(() => {
+    guests.stop();
+    jobs.close();
+    mock.timers.reset();
+    mock.restoreAll();
+  });
+
+  function submit(id: string): () => void {
+    const order = createOrder({ id, waitMs: 1_500 });
+    return jobs.submit(order, (outcome) => outcomes.push(outcome));
+  }
+
+  test("are handed to its scheduler as new ones, by a guest", async () => {
+    submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+
+    assert.equal(opened[0].address, "n:1");
+    assert.equal(opened[0].report.isGuest, true);
+    const [{ order, progress }] = opened[0].link.taken;
+    assert.equal(order.wasPassed, true);
+    assert.equal(progress.isResubmitted, false);
+  });
+
+  test("are not handed to a new scheduler of the own group", async () => {
+    submit("j1");
+    submit("j2");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+    jobs.setLink(undefined);
+    const next = createLink(2);
+    jobs.setLink(next.link);
+
+    assert.deepEqual(next.taken.map(({ order }) => order.id), ["j2"]);
+  });
+
+  test("go to the group's next scheduler with what is known of them", async () => {
+    submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+    opened[0].events.placed("j1.0.0.0", "e7");
+    opened[0].lost("silent");
+    rows.north = { vm: "n-2", incarnation: "y", address: "n:2", epoch: 11 };
+    await wait(200);
+
+    assert.equal(opened[1].address, "n:2");
+    const [{ progress }] = opened[1].link.taken;
+    assert.equal(progress.isResubmitted, true);
+    assert.deepEqual(progress.placed, [{ task: "j1.0.0.0", endpointId: "e7" }]);
+  });
+
+  test("one whose caller leaves is given up there", async () => {
+    const leave = submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+    leave();
+
+    assert.deepEqual(opened[0].link.abandoned, ["j1"]);
+    assert.deepEqual(own.abandoned, []);
+  });
+
+  test("one whose group has no scheduler is refused as not run in its time", async () => {
+    rows = {};
+    submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(2_000);
+
+    assert.equal(outcomes[0]?.type, "refused");
+  });
+
+  test("one that the group had may have run when its scheduler is gone for good", async () => {
+    submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+    rows = {};
+    opened[0].lost("closed");
+    await wait(2_000);
+
+    assert.equal(outcomes[0]?.type, "failed");
+  });
+
+  test("the link is closed when it is not needed for some seconds", async () => {
+    const leave = submit("j1");
+    jobs.events.passed("j1", "north");
+    await wait(50);
+    leave();
+    await wait(4_000);
+    assert.equal(opened[0].link.isClosed(), false);
+    await wait(2_000);
+
+    assert.equal(opened[0].link.isClosed(), true);
+    assert.equal(opened.length, 1);
+  });
+});
