A scheduler that can't keep up hands over; processes wake less often

With the profiler an idle VM took 0.022 of a core: it looked at its link 50 times a second and at its jobs and links 20 times each. Each task's end was a message of its own to its VM. By design a scheduler on a VM that turns slow kept the role. Ruled out: new connections to endpoints (4,585 for 41,000 jobs). Change: a VM looks at its link when something is heard, else each 200 ms; jobs without a scheduler and links to other groups are looked after only while there are any; progress waits up to 10 ms for the job's end. A scheduler whose loop turns late hands over to one whose does not; VMs with late loops come later in the succession.

--- a/src/vm/create_guest_links.ts
+++ b/src/vm/create_guest_links.ts
@@ -39,6 +39,8 @@
   const { jobs, findRow, log } = options;
   const openLink = options.openLink ?? openRemoteLink;
   const guests = new Map<string, Guest>();
+  /** Runs while there is a link or a job to look after. */
+  let timer: ReturnType<typeof setInterval> | undefined;
 
   function drop(group: string, guest: Guest, reason: string): void {
     if (guests.get(group) !== guest) return;
@@ -58,7 +60,7 @@
     };
   }
 
-  async function open(group: string, row: SchedulerRow): Promise<void> {
+  async function openTo(group: string, row: SchedulerRow): Promise<void> {
     const attempt = new AbortController();
     const guest: Guest = {
       row,
@@ -91,9 +93,9 @@
     }
   }
 
-  function request(group: string): void {
+  function open(group: string): void {
     const row = findRow(group);
-    if (row && !guests.has(group)) void open(group, row);
+    if (row && !guests.has(group)) void openTo(group, row);
   }
 
   /** What the earlier scheduler has begun must be heard before another gets the jobs. */
@@ -119,12 +121,17 @@
       if (isSuperseded) void leave(group, guest, "superseded");
       else if (isIdle) void leave(group, guest, "idle");
     }
-    for (const group of used) request(group);
+    for (const group of used) open(group);
+    if (guests.size > 0 || used.size > 0) return;
+    clearInterval(timer);
+    timer = undefined;
   }
 
-  const timer = setInterval(look, LOOK_MS);
   return {
-    request,
+    request: (group) => {
+      open(group);
+      timer ??= setInterval(look, LOOK_MS);
+    },
     stop: () => {
       clearInterval(timer);
       for (const [group, guest] of guests) drop(group, guest, "stopped");
--- a/src/vm/create_open_jobs.ts
+++ b/src/vm/create_open_jobs.ts
@@ -22,7 +22,13 @@
   const guestLinks = new Map<string, SchedulerLink>();
   /** Whether other groups may have jobs of callers here. */
   let hasGuestJobs = false;
-  const timer = setInterval(review, REVIEW_MS);
+  /** Runs while a job may be without a scheduler. */
+  let timer: ReturnType<typeof setInterval> | undefined;
+  startReview();
+
+  function startReview(): void {
+    timer ??= setInterval(review, REVIEW_MS);
+  }
 
   function findLink({ group }: OpenJob): SchedulerLink | undefined {
     return group === undefined ? ownLink : guestLinks.get(group);
@@ -63,7 +69,11 @@
   }
 
   function review(): void {
-    if (ownLink && !hasGuestJobs) return;
+    if (ownLink && !hasGuestJobs) {
+      clearInterval(timer);
+      timer = undefined;
+      return;
+    }
     const nowMs = readMonotonicMs();
     hasGuestJobs = false;
     for (const job of [...jobs.values()]) {
@@ -125,6 +135,7 @@
       job.handedTo = 0;
       job.group = group;
       hasGuestJobs = true;
+      startReview();
       log("jobHandedOn", { job: id, group });
       hand(job);
     },
@@ -155,7 +166,10 @@
       if (group === undefined) ownLink = next;
       else if (next) guestLinks.set(group, next);
       else guestLinks.delete(group);
-      if (!next) return;
+      if (!next) {
+        startReview();
+        return;
+      }
       for (const job of jobs.values()) if (job.group === group) hand(job);
     },
     isEmpty: () => jobs.size === 0,
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -1,9 +1,9 @@
 import { readError } from "../errors/read_error.ts";
 import type { TableRow } from "../store/table_row.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
-import { waitMs } from "../utils/wait_ms.ts";
 import { computeSuccessionRank } from "../decide/compute_succession_rank.ts";
 import { computeToken } from "./compute_token.ts";
+import { createPause } from "./create_pause.ts";
 import { createLinkSlot } from "./create_link_slot.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import type { EventLog } from "./event_log.ts";
@@ -25,8 +25,8 @@
 
 /** Pause between two attempts at a link or at taking over, in ms. */
 const AGAIN_MS = 50;
-/** How often a linked VM looks whether something is asked of it, in ms. */
-const LOOK_MS = 20;
+/** How often a linked VM looks whether it still should be, in ms; what it hears of makes it look at once. */
+const LOOK_MS = 200;
 /** A VM that reaches no scheduler for this long serves its callers alone, in ms; a takeover is faster. */
 const SOLO_MS = 700;
 /** The same beside other groups while the store answers, in ms: the succession is faster, and a group's pool cut into shares serves few. */
@@ -103,6 +103,8 @@
   let storeOffsetMs = 0;
   let isStopped = false;
 
+  const pause = createPause();
+
   const watcher = followSchedulerRow(ports.table, {
     log,
     changed: (found) => {
@@ -118,6 +120,7 @@
     // A new holder gets the same time as the old one before it is doubted.
     if (!isSameHolder) learnHolder();
     log("schedulerKnown", { vm: next.value.vm, epoch: next.value.epoch });
+    pause.wake();
     if (isSameHolder) return;
     if (host && next.value.incarnation !== incarnation) endHost("superseded");
   }
@@ -149,11 +152,14 @@
       options.heardVersion(status.configurationVersion);
     },
     left: () => {
-      if (!isLeaving) slot.drop("left");
+      if (isLeaving) return;
+      slot.drop("left");
+      pause.wake();
     },
     resignation: (reason) => {
       log("takeoverAsked", { reason });
       isAsked = true;
+      pause.wake();
     },
   };
 
@@ -192,6 +198,7 @@
     const key = keys.scheduler;
     row = { key, value, revision: 0, updatedAtMs: 0 };
     learnHolder();
+    pause.wake();
     log("schedulerKnown", { vm: value.vm, epoch: value.epoch, from: "peer" });
   }
 
@@ -227,6 +234,7 @@
           lostHow = how;
           isRowTried = true;
           slot.drop(how);
+          pause.wake();
         },
       });
       opened = next;
@@ -383,7 +391,7 @@
         log("takeoverFailed", { message: readError(thrown).message });
         isAsked = false;
       }
-      await waitMs(slot.find() && !solo ? LOOK_MS : AGAIN_MS);
+      await pause.wait(slot.find() && !solo ? LOOK_MS : AGAIN_MS);
     }
   }
   run();
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -83,8 +83,10 @@
 }
 
 function createEvents(stream: Stream): LinkEvents {
-  const send = createBatch<SchedulerMessage>((messages) =>
-    void stream.write(messages)
+  const send = createBatch<SchedulerMessage>(
+    (messages) => void stream.write(messages),
+    // Only another scheduler asks for these, and it comes much later.
+    ({ type }) => type === "placed" || type === "done",
   );
   return {
     placed: (task, endpointId) => send({ type: "placed", task, endpointId }),
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -7,6 +7,7 @@
 import { describeRooms } from "../scheduler/describe_rooms.ts";
 import { describeLevels } from "../scheduler/describe_levels.ts";
 import type { Effect } from "../scheduler/effect.ts";
+import { isTooSlow } from "../decide/is_too_slow.ts";
 import { isTooWeak } from "../decide/is_too_weak.ts";
 import { hasStoredJobs } from "../scheduler/has_stored_jobs.ts";
 import { loseEndpoint } from "../scheduler/lose_endpoint.ts";
@@ -45,6 +46,8 @@
 const BEAT_MS = 100;
 /** VMs of other groups hear it at each of so many beats. */
 const GUEST_BEATS = 2;
+/** A VM whose loop turns later than this on average comes after the others in the succession, in ms. */
+const AT_EASE_MS = 20;
 /** A scheduler hands over for its weakness at the earliest this long after it began, in ms: until VMs have linked and the runs are known. */
 const SETTLE_MS = 3_000;
 /** For this long after a beat no other can have taken the role, in ms: less than the age at which a beat is stale. */
@@ -73,6 +76,8 @@
   /** The VMs known when this process began. */
   vms: LinkedVm[];
   configurationVersion: () => number;
+  /** How late this process's loop turns, in ms. */
+  readLoopDelayMs: () => number;
   /** Whether there were stored jobs when this VM last heard of a scheduler. */
   hasKeptJobs: boolean;
   /** Whether stored jobs are run by this group. */
@@ -227,6 +232,7 @@
       .sort(([, one], [, other]) =>
         Number(other.report?.isStoreReachable) -
           Number(one.report?.isStoreReachable) ||
+        Number(isAtEase(other)) - Number(isAtEase(one)) ||
         readStrength(other) - readStrength(one)
       )
       .map(([name]) => name);
@@ -319,16 +325,18 @@
     reviewStrength();
   }
 
-  /** Hands over once to a VM that can carry more. */
+  /** Hands over to a VM that can carry more. */
   function reviewStrength(): void {
     const nowMs = readMonotonicMs();
     if (isSolo || nowMs - Math.max(beganMs, resignedMs) < SETTLE_MS) return;
     const [best] = listSuccessors();
     const report = links.get(best)?.report;
     if (!report?.isStoreReachable) return;
-    if (!isTooWeak(settings.strength, report.strength)) return;
+    const delayMs = options.readLoopDelayMs();
+    const isSlow = isTooSlow({ delayMs, bestDelayMs: report.loopDelayMs });
+    if (!isSlow && !isTooWeak(settings.strength, report.strength)) return;
     resignedMs = nowMs;
-    resign("weaker");
+    resign(isSlow ? "slow" : "weaker");
   }
 
   /** Where no VM reaches the store, none can take the role. */
@@ -415,3 +423,8 @@
 function readStrength({ report }: Link): number {
   return report?.strength ?? 0;
 }
+
+/** Whether a VM's loop leaves it time for a scheduler's work. */
+function isAtEase({ report }: Link): boolean {
+  return report !== undefined && report.loopDelayMs < AT_EASE_MS;
+}
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -16,6 +16,7 @@
 import { agreeLayout } from "../group/agree_layout.ts";
 import { listGroups } from "../group/list_groups.ts";
 import { createGuestLinks } from "./create_guest_links.ts";
+import { createLoopWatch } from "./create_loop_watch.ts";
 import { createKeptView } from "./create_kept_view.ts";
 import { followSummaries } from "./follow_summaries.ts";
 import { formatRowKeys } from "./format_row_keys.ts";
@@ -52,6 +53,7 @@
   const incarnation = crypto.randomUUID();
   const jobs = createOpenJobs(log, (group) => guests?.request(group));
   const kept = createKeptView();
+  const loop = createLoopWatch();
   /** The holders of the groups' roles, by the key of their row. */
   const holders = new Map<string, SchedulerRow>();
   let follower: ReturnType<typeof followScheduler> | undefined;
@@ -67,6 +69,7 @@
     address: settings.peerAddress,
     dataCentre: settings.dataCentre,
     strength: settings.strength,
+    loopDelayMs: loop.readDelayMs(),
     isGuest: false,
     isDraining,
     isStoreReachable: options.isStoreReachable(),
@@ -145,6 +148,7 @@
           ...start,
           isSolo: soloAmong !== undefined,
           isGrouped: others.length > 0,
+          readLoopDelayMs: loop.readDelayMs,
           runsKeptJobs: group === groups[0],
           roleKey: keys.scheduler,
           knownEndpoints: soloAmong
@@ -215,6 +219,7 @@
       guests?.stop();
       endpoints.stop();
       jobs.close();
+      loop.stop();
       await server.stop();
     },
   };
--- a/src/vm/vm_report.ts
+++ b/src/vm/vm_report.ts
@@ -5,6 +5,8 @@
   dataCentre: string;
   /** Cores' worth of processor time. */
   strength: number;
+  /** How late its loop turns on average, in ms. */
+  loopDelayMs: number;
   /** Of another group: it hands in jobs that its own scheduler passed on, and never takes over. */
   isGuest: boolean;
   isDraining: boolean;
--- a/test/decide/group_choice_test.ts
+++ b/test/decide/group_choice_test.ts
@@ -2,6 +2,7 @@
 import { describe, test } from "node:test";
 import { chooseGroup } from "../../src/decide/choose_group.ts";
 import { computeSuccessionRank } from "../../src/decide/compute_succession_rank.ts";
+import { isTooSlow } from "../../src/decide/is_too_slow.ts";
 import { isTooWeak } from "../../src/decide/is_too_weak.ts";
 
 const JOB = { service: "layout", tasks: 8, cpu: 8_000 };
@@ -56,6 +57,12 @@
     assert.ok(rankOf(0.243) > rankOf(0.81));
   });
 
+  test("a scheduler whose loop is late hands over to one whose is not", () => {
+    assert.ok(isTooSlow({ delayMs: 80, bestDelayMs: 5 }));
+    assert.ok(!isTooSlow({ delayMs: 80, bestDelayMs: 70 }));
+    assert.ok(!isTooSlow({ delayMs: 10, bestDelayMs: 0 }));
+  });
+
   test("a scheduler hands over to one with twice its processor", () => {
     assert.ok(isTooWeak(0.243, 1.35));
     assert.ok(!isTooWeak(0.81, 1.35));
--- a/test/vm/passed_jobs_test.ts
+++ b/test/vm/passed_jobs_test.ts
@@ -37,6 +37,7 @@
   address: "127.0.0.1:1",
   dataCentre: "a",
   strength: 1,
+  loopDelayMs: 0,
   isGuest: false,
   isDraining: false,
   isStoreReachable: true,
