What recurs in a VM's process runs from one ticker

An idle VM woke some 80 times a second, each time with its own calls of the system. Ruled out: flags of the runtime (always-sparkplug, single-threaded, max-lazy, no-opt: 2.02 to 2.10 s of a serving VM in 18 s, no difference that counts; no-opt costs a scheduler 7.5 s instead of 6.2); the start of a process (0.45 s, 0.19 the runtime's). Change: beats, reports, the watch over the link, other groups' beats, the loop's delay and serving alone run from one ticker of 100 ms; a linked VM looks at its link each second unless something is heard; log lines are gathered for 100 ms.

--- a/src/log/create_line_writer.ts
+++ b/src/log/create_line_writer.ts
@@ -3,7 +3,7 @@
 /** Most bytes that wait for a slow reader; more lines are dropped and counted. */
 const MOST_WAITING_BYTES = 1024 * 1024;
 /** Lines are gathered this long before they are written, in ms. */
-const GATHER_MS = 50;
+const GATHER_MS = 100;
 
 /**
  * Creates a writer of lines that never blocks the caller: one write is on its
--- a/src/vm/create_guest_links.ts
+++ b/src/vm/create_guest_links.ts
@@ -6,6 +6,7 @@
 import { openRemoteLink } from "./open_remote_link.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
+import type { Ticker } from "./ticker.ts";
 import type { VmReport } from "./vm_report.ts";
 
 /** How often the links are looked after, in ms. */
@@ -28,6 +29,7 @@
   /** The holder of another group's role, as far as this VM knows. */
   findRow: (group: string) => SchedulerRow | undefined;
   readReport: () => VmReport;
+  ticker: Ticker;
   log: EventLog;
   /** Default: a gRPC stream to the other process. */
   openLink?: typeof openRemoteLink;
@@ -73,6 +75,7 @@
       const link = await openLink({
         address: row.address,
         events: createEvents(group, guest),
+        ticker: options.ticker,
         readReport: () => ({ ...options.readReport(), isGuest: true }),
         isGuest: true,
         signal: attempt.signal,
--- a/src/vm/create_loop_watch.ts
+++ b/src/vm/create_loop_watch.ts
@@ -1,4 +1,5 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import type { Ticker } from "./ticker.ts";
 
 /** How often the loop is asked to turn, in ms. */
 const TURN_MS = 100;
@@ -8,7 +9,9 @@
 const MOST_LATE_MS = 120;
 
 /** Watches how late this process's loop turns, as a sign of what its VM's processor still carries. */
-export function createLoopWatch(): { readDelayMs(): number; stop(): void } {
+export function createLoopWatch(
+  ticker: Ticker,
+): { readDelayMs(): number; stop(): void } {
   let dueMs = readMonotonicMs() + TURN_MS;
   let delayMs = 0;
 
@@ -19,9 +22,9 @@
     dueMs = nowMs + TURN_MS;
   }
 
-  const timer = setInterval(measure, TURN_MS);
+  const stop = ticker.every(TURN_MS, measure);
   return {
     readDelayMs: () => Math.round(delayMs),
-    stop: () => clearInterval(timer),
+    stop,
   };
 }
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -19,14 +19,17 @@
 import type { SchedulerLink } from "./scheduler_link.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
 import { takeSchedulerRow } from "./take_scheduler_row.ts";
+import type { Ticker } from "./ticker.ts";
 import type { VmPorts } from "./vm_ports.ts";
 import type { VmReport } from "./vm_report.ts";
 import type { VmSettings } from "./vm_settings.ts";
 
 /** Pause between two attempts at a link or at taking over, in ms. */
 const AGAIN_MS = 50;
+/** How often a scheduler looks whether it has endpoints to take back, in ms. */
+const HOST_LOOK_MS = 200;
 /** How often a linked VM looks whether it still should be, in ms; what it hears of makes it look at once. */
-const LOOK_MS = 200;
+const LOOK_MS = 1_000;
 /** A VM that reaches no scheduler for this long serves its callers alone, in ms; a takeover is faster. */
 const SOLO_MS = 700;
 /** The same beside other groups while the store answers, in ms: the succession is faster, and a group's pool cut into shares serves few. */
@@ -51,6 +54,7 @@
   /** Whether other groups have schedulers of their own. */
   isGrouped: boolean;
   ports: VmPorts;
+  ticker: Ticker;
   jobs: OpenJobs;
   log: EventLog;
   readReport: () => VmReport;
@@ -227,6 +231,7 @@
       const next = await openRemoteLink({
         address: value.address,
         events,
+        ticker: options.ticker,
         readReport: options.readReport,
         signal: attempt.signal,
         redirected: takeRedirect,
@@ -384,6 +389,11 @@
     }
   }
 
+  function computePauseMs(): number {
+    if (host) return HOST_LOOK_MS;
+    return slot.find() && !solo ? LOOK_MS : AGAIN_MS;
+  }
+
   async function run(): Promise<void> {
     await watcher.readNow();
     while (!isStopped) {
@@ -393,7 +403,7 @@
         log("takeoverFailed", { message: readError(thrown).message });
         isAsked = false;
       }
-      await pause.wait(slot.find() && !solo ? LOOK_MS : AGAIN_MS);
+      await pause.wait(computePauseMs());
     }
   }
   run();
@@ -404,18 +414,18 @@
   }
 
   /** Apart from the attempts at linking, as those wait for a store or a peer that may be silent. */
-  const soloTimer = setInterval(() => {
+  const stopSoloLook = options.ticker.every(SOLO_LOOK_MS, () => {
     const limitMs = slot.hasEverBeenLinked() ? readSoloMs() : FIRST_SOLO_MS;
     const isLost = !slot.find() && slot.computeLostMs() > limitMs;
     if (isLost && !isStopped) beginSolo();
-  }, SOLO_LOOK_MS);
+  });
 
   return {
     findHost: () => host,
     findRow: () => row?.value,
     stop: () => {
       isStopped = true;
-      clearInterval(soloTimer);
+      stopSoloLook();
       watcher.stop();
       host?.stop();
       solo?.stop();
--- a/src/vm/follow_summaries.ts
+++ b/src/vm/follow_summaries.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from "./event_log.ts";
 import { formatRowKeys } from "./format_row_keys.ts";
 import type { GroupSummary } from "./group_summary.ts";
+import type { Ticker } from "./ticker.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 
 /** How often the other groups' beats are read, in ms. */
@@ -16,6 +17,7 @@
 /** Reads what the other groups' schedulers tell with their beats, while this process is a scheduler. */
 export function followSummaries(options: {
   table: Table;
+  ticker: Ticker;
   log: EventLog;
   /** The other groups. */
   groups: string[];
@@ -60,6 +62,5 @@
     }
   }
 
-  const timer = setInterval(look, READ_MS);
-  return { stop: () => clearInterval(timer) };
+  return { stop: options.ticker.every(READ_MS, look) };
 }
--- a/src/vm/keep_beat.ts
+++ b/src/vm/keep_beat.ts
@@ -3,6 +3,7 @@
 import type { BeatRow } from "./beat_row.ts";
 import type { EventLog } from "./event_log.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
+import type { Ticker } from "./ticker.ts";
 import type { WatchedTable } from "./watched_table.ts";
 
 /** Time between two beats, in ms. */
@@ -13,6 +14,7 @@
 /** Writes the scheduler's beat to the store, and resigns while the store is lost to this VM. */
 export function keepBeat(options: {
   table: WatchedTable;
+  ticker: Ticker;
   /** Of the group's beat. */
   key: string;
   log: EventLog;
@@ -93,6 +95,5 @@
     host.resign("storeLost");
   }
 
-  const timer = setInterval(renewBeat, BEAT_MS);
-  return { stop: () => clearInterval(timer) };
+  return { stop: options.ticker.every(BEAT_MS, renewBeat) };
 }
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -10,6 +10,7 @@
 import type { SchedulerRow } from "./scheduler_row.ts";
 import type { VmMessage } from "./vm_message.ts";
 import type { SchedulerLink } from "./scheduler_link.ts";
+import type { Ticker } from "./ticker.ts";
 import type { VmReport } from "./vm_report.ts";
 
 /** How often the scheduler hears from this VM at least, in ms: three times before it takes it as silent. */
@@ -22,7 +23,7 @@
 const OPEN_MS = 400;
 /** Longest wait for the last words of a scheduler that this VM leaves, in ms. */
 const LEAVE_MS = 200;
-/** How often the link is looked after, in ms: with the other timers of a VM, so that they wake it together. */
+/** How often the link is looked after, in ms. */
 const LOOK_MS = 100;
 
 type Stream = ClientDuplexStream<VmMessage[], SchedulerMessage[]>;
@@ -33,6 +34,7 @@
 export function openRemoteLink(options: {
   address: string;
   events: LinkEvents;
+  ticker: Ticker;
   readReport: () => VmReport;
   /** Whether the scheduler is another group's. Default: false. */
   isGuest?: boolean;
@@ -60,8 +62,8 @@
   function close(): void {
     if (isClosed) return;
     isClosed = true;
-    clearInterval(beater);
-    clearInterval(watcher);
+    stopReports();
+    stopWatch();
     stream.cancel();
     client.close();
   }
@@ -74,8 +76,8 @@
     send({ type: "report", report: options.readReport() });
   }
 
-  const beater = setInterval(sendReport, BEAT_MS);
-  let watcher: ReturnType<typeof setInterval>;
+  const stopReports = options.ticker.every(BEAT_MS, sendReport);
+  let stopWatch = () => {};
   sendReport();
 
   return new Promise((resolve, reject) => {
@@ -86,10 +88,10 @@
       else reject(new Error(how));
     }
 
-    watcher = setInterval(() => {
+    stopWatch = options.ticker.every(LOOK_MS, () => {
       const limitMs = isOpen ? silentMs : OPEN_MS;
       if (readMonotonicMs() - heardMs > limitMs) lose("silent");
-    }, LOOK_MS);
+    });
 
     function take(message: SchedulerMessage): void {
       if (isClosed) return;
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -17,6 +17,7 @@
 import { listGroups } from "../group/list_groups.ts";
 import { createGuestLinks } from "./create_guest_links.ts";
 import { createLoopWatch } from "./create_loop_watch.ts";
+import { createTicker } from "./create_ticker.ts";
 import { createKeptView } from "./create_kept_view.ts";
 import { followSummaries } from "./follow_summaries.ts";
 import { formatRowKeys } from "./format_row_keys.ts";
@@ -53,7 +54,8 @@
   const incarnation = crypto.randomUUID();
   const jobs = createOpenJobs(log, (group) => guests?.request(group));
   const kept = createKeptView();
-  const loop = createLoopWatch();
+  const ticker = createTicker();
+  const loop = createLoopWatch(ticker);
   /** The holders of the groups' roles, by the key of their row. */
   const holders = new Map<string, SchedulerRow>();
   let follower: ReturnType<typeof followScheduler> | undefined;
@@ -118,9 +120,16 @@
       rows.filter((row) => findGroup(layout, row.dataCentre) === group);
     log("groupJoined", { group, groups: groups.length });
     const findHost = () => follower?.findHost();
-    beat = keepBeat({ table: ports.table, key: keys.beat, log, findHost });
+    beat = keepBeat({
+      table: ports.table,
+      ticker,
+      key: keys.beat,
+      log,
+      findHost,
+    });
     summaries = followSummaries({
       table: ports.table,
+      ticker,
       log,
       groups: others,
       findHost,
@@ -129,6 +138,7 @@
       jobs,
       findRow: (other) => holders.get(formatRowKeys(other).scheduler),
       readReport,
+      ticker,
       log,
     });
     follower = followScheduler({
@@ -137,6 +147,7 @@
       group,
       isGrouped: others.length > 0,
       ports,
+      ticker,
       jobs,
       log,
       kept,
@@ -220,6 +231,7 @@
       endpoints.stop();
       jobs.close();
       loop.stop();
+      ticker.stop();
       await server.stop();
     },
   };
--- a/test/vm/loop_watch_test.ts
+++ b/test/vm/loop_watch_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, mock, test } from "node:test";
 import { createLoopWatch } from "../../src/vm/create_loop_watch.ts";
+import { createTicker } from "../../src/vm/create_ticker.ts";
 
 describe("how late a process's loop turns", () => {
   let nowMs = 0;
@@ -23,20 +24,20 @@
   }
 
   test("is nothing while it turns in time", () => {
-    const watch = createLoopWatch();
+    const watch = createLoopWatch(createTicker());
     assert.equal(turn(watch, 100, 50), 0);
     watch.stop();
   });
 
   test("comes close to the delay within half a second of it", () => {
-    const watch = createLoopWatch();
+    const watch = createLoopWatch(createTicker());
     const delayMs = turn(watch, 200, 5);
     assert.ok(delayMs > 70, String(delayMs));
     watch.stop();
   });
 
   test("one long pause counts as a short one", () => {
-    const watch = createLoopWatch();
+    const watch = createLoopWatch(createTicker());
     assert.ok(turn(watch, 4_000) < 40);
     watch.stop();
   });
--- a/test/vm/passed_jobs_test.ts
+++ b/test/vm/passed_jobs_test.ts
@@ -4,6 +4,7 @@
 import type { JobOutcome } from "../../src/scheduler/job_outcome.ts";
 import type { KnownProgress } from "../../src/scheduler/known_progress.ts";
 import { createGuestLinks } from "../../src/vm/create_guest_links.ts";
+import { createTicker } from "../../src/vm/create_ticker.ts";
 import { createOpenJobs } from "../../src/vm/create_open_jobs.ts";
 import type { LinkEvents } from "../../src/vm/link_events.ts";
 import type { openRemoteLink } from "../../src/vm/open_remote_link.ts";
@@ -57,6 +58,7 @@
   let jobs: ReturnType<typeof createOpenJobs>;
   let guests: ReturnType<typeof createGuestLinks>;
   let own: ReturnType<typeof createLink>;
+  let ticker: ReturnType<typeof createTicker>;
   let outcomes: JobOutcome[] = [];
 
   async function wait(ms: number): Promise<void> {
@@ -89,10 +91,12 @@
     mock.timers.enable({ apis: ["setTimeout", "setInterval"] });
     mock.method(performance, "now", () => nowMs);
     jobs = createOpenJobs(() => {}, (group) => guests.request(group));
+    ticker = createTicker();
     guests = createGuestLinks({
       jobs,
       findRow: (group) => rows[group],
       readReport: () => REPORT,
+      ticker,
       log: () => {},
       openLink,
     });
@@ -102,6 +106,7 @@
 
   afterEach(() => {
     guests.stop();
+    ticker.stop();
     jobs.close();
     mock.timers.reset();
     mock.restoreAll();
