--- a/scripts/build_node.mjs
+++ b/scripts/build_node.mjs
@@ -4,6 +4,7 @@
 import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { dirname, join, resolve } from "node:path";
+import v8 from "node:v8";
 import vm from "node:vm";
 import { build } from "esbuild";
 
@@ -44,10 +45,12 @@
 const programFile = resolve(folder, "node_program.cjs");
 const source = readFileSync(programFile, "utf8");
 const wrapped = `(function (exports, require, module) {${source}\n})`;
+// The cache holds only functions that have been compiled. A restarted VM would
+// otherwise compile most of them under load, before its first task starts.
+v8.setFlagsFromString("--no-lazy");
 const script = new vm.Script(wrapped, { filename: programFile });
-const module = { exports: {} };
-// V8 caches only functions that have been compiled, so run the program's top level once before the cache is created.
-script.runInThisContext()(module.exports, createRequire(programFile), module);
+// Programs refuse a cache that was made under other flags than their own.
+v8.setFlagsFromString("--lazy");
 writeFileSync(join(folder, "node_program.js"), wrapped);
 writeFileSync(join(folder, "node_program.cache"), script.createCachedData());
 writeFileSync(
