--- a/src/vm/endpoint_client.ts
+++ b/src/vm/endpoint_client.ts
@@ -3,16 +3,22 @@
 
 /** Client of one endpoint. Times called `EndMs` are by the endpoint's clock; `token` is the fencing token. */
 export type EndpointClient = {
-  /** Starts a run; never rejects. `clockMs` is the endpoint's clock, when it answered. */
+  /** Starts a run; never rejects. The same start may be sent again. `clockMs` is the endpoint's clock, when it answered. */
   start(order: {
     task: string;
     run: number;
     spec: string;
     leaseEndMs: number;
     token: number;
+    timeoutMs: number;
   }): Promise<StartReply & { clockMs?: number }>;
   /** Stops a run; true when the endpoint has confirmed the stop. */
-  stop(order: { task: string; run: number; token: number }): Promise<boolean>;
+  stop(order: {
+    task: string;
+    run: number;
+    token: number;
+    timeoutMs: number;
+  }): Promise<boolean>;
   /** Extends the lease and reads the listing of runs; a long poll of up to `waitMs`, which a run end completes early. Rejects when no answer arrives within `timeoutMs`. */
   list(order: {
     token: number;
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -129,7 +129,6 @@
     state,
     createClient: ports.createEndpointClient,
     applyDecision,
-    log,
     onSuperseded: (endpointId) => {
       applyDecision(() => setEndpointTakenOver(state, endpointId));
       options.onSuperseded(computeTakenShare());
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -1,3 +1,4 @@
+import { classifyRepeatedStart } from "../../src/decide/classify_repeated_start.ts";
 import { advanceScheduler } from "../../src/scheduler/advance_scheduler.ts";
 import { applyListing } from "../../src/scheduler/apply_listing.ts";
 import { setEndpointUnresponsive } from "../../src/scheduler/set_endpoint_unresponsive.ts";
@@ -30,6 +31,8 @@
 /** Time-out of a request for a listing. */
 const LIST_TIMEOUT_MS = 250;
 const STOP_RETRY_DELAY_MS = 50;
+/** Maximum number of times that a start is sent. */
+const MAX_START_SENDS = 3;
 /** Upper bound for the attempts to stop a run that the scheduler no longer records at the endpoint. */
 const MAX_STOP_ATTEMPTS = 40;
 
@@ -172,7 +175,10 @@
     else this.#world.receiveEffect(this, effect);
   }
 
-  #start(effect: Extract<Effect, { type: "startTask" }>): void {
+  #start(
+    effect: Extract<Effect, { type: "startTask" }>,
+    earlierSends = 0,
+  ): void {
     const { task, run, leaseEndMs, endpointId } = effect;
     const endpoint = this.#findEndpoint(endpointId);
     const known = this.state.endpoints.get(endpointId);
@@ -183,7 +189,19 @@
       token: known?.token ?? this.state.token,
       processStartMs: known?.processStartMs ?? 0,
     };
-    const reply = (answer: StartReply) => {
+    const reply = (received: StartReply) => {
+      const isStarting = known?.runs.get(task.name) === task &&
+        task.run === run && task.phase === "starting" && !task.job.outcome;
+      if (
+        received.type === "unanswered" && isStarting &&
+        earlierSends + 1 < MAX_START_SENDS
+      ) {
+        this.#start(effect, earlierSends + 1);
+        return;
+      }
+      const answer = earlierSends > 0
+        ? classifyRepeatedStart(received)
+        : received;
       if (answer.type === "rejected" && answer.reason === "superseded") {
         this.applyDecision(() => setEndpointTakenOver(this.state, endpointId));
       }
--- a/test/vm/endpoint_sessions_test.ts
+++ b/test/vm/endpoint_sessions_test.ts
@@ -30,7 +30,6 @@
   const sessions = createEndpointSessions({
     state: driver.state,
     applyDecision: (decide) => decide(performance.now()),
-    log: () => {},
     onSuperseded: () => {},
     createClient: () => ({
       start: () => Promise.resolve({ type: "accepted" }),
