--- a/src/vm/create_guest_links.ts
+++ b/src/vm/create_guest_links.ts
@@ -11,6 +11,8 @@
 
 /** Interval at which the links are reviewed, in ms. */
 const POLL_INTERVAL_MS = 100;
+/** Time-out for a scheduler's first message, in ms: meanwhile the passed jobs wait. */
+const OPEN_TIMEOUT_MS = 400;
 /** A link without jobs is closed after this time, in ms; it stays open for a while because bursts of passed jobs recur. */
 const IDLE_TIMEOUT_MS = 5_000;
 
@@ -78,6 +80,8 @@
         ticker: options.ticker,
         readReport: () => ({ ...options.readReport(), isGuest: true }),
         isGuest: true,
+        openTimeoutMs: OPEN_TIMEOUT_MS,
+        onSlow: () => {},
         signal: attempt.signal,
         onRedirect: () => {},
         onLost: (how) => drop(group, guest, how),
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -35,6 +35,10 @@
 const SOLO_DELAY_MS = 700;
 /** Where other groups exist and the store answers, a VM that reaches no scheduler for this long enters solo mode, in ms. A takeover takes less time, and a group's endpoints divided into shares serve few callers. */
 const GROUPED_SOLO_DELAY_MS = 2_500;
+/** Time-out for the first message of a role holder, in ms: a process that has just started, or taken the role, is slow. */
+const OPEN_TIMEOUT_MS = 1_200;
+/** Time-out for the first message while the store cannot be read, in ms: the VM asks several others in turn. */
+const PEER_OPEN_TIMEOUT_MS = 400;
 /** Interval at which a VM checks whether to enter solo mode, in ms. */
 const SOLO_POLL_INTERVAL_MS = 100;
 /** Minimum time between two raises of the epoch, in ms: within it the endpoints answer a scheduler that has raised its epoch. */
@@ -267,6 +271,10 @@
         ticker: options.ticker,
         readReport: options.readReport,
         signal: attempt.signal,
+        openTimeoutMs: watcher.isLost()
+          ? PEER_OPEN_TIMEOUT_MS
+          : OPEN_TIMEOUT_MS,
+        onSlow: () => recordFailedAttempt(value, "silent"),
         onRedirect: (to) => {
           isRedirected = true;
           applyRedirect(to);
@@ -292,15 +300,22 @@
       slot.set(next, value.incarnation);
     } catch (thrown) {
       const message = isRedirected ? "turnedAway" : readError(thrown).message;
-      if (row?.value.incarnation === value.incarnation) {
-        isHolderTried = true;
-        // A process that refuses the link with a redirect runs, and may have taken the role a moment ago.
-        lostHow = message === "closed" ? "closed" : "silent";
-      }
+      // A process that refuses the link with a redirect runs, and may have taken the role a moment ago.
+      recordFailedAttempt(value, message === "closed" ? "closed" : "silent");
       log("linkNotOpened", { vm: value.vm, epoch: value.epoch, message });
     }
   }
 
+  /** Records that the role holder that `value` names has not opened a link, unless this VM knows of a later holder. */
+  function recordFailedAttempt(
+    value: SchedulerRow,
+    how: "closed" | "silent",
+  ): void {
+    if (row?.value.incarnation !== value.incarnation) return;
+    isHolderTried = true;
+    lostHow = how;
+  }
+
   async function canTakeOver(): Promise<boolean> {
     const heartbeat = await readHeartbeat(ports.table, keys.heartbeat);
     storeOffsetMs = heartbeat.storeOffsetMs;
--- a/src/vm/open_remote_link.ts
+++ b/src/vm/open_remote_link.ts
@@ -19,8 +19,8 @@
 const SCHEDULER_TIMEOUT_MS = 350;
 /** Another group's scheduler that sends nothing for this long is treated as lost, in ms; heartbeats over guest links are less frequent. */
 const GUEST_SCHEDULER_TIMEOUT_MS = 600;
-/** Time-out for the first message of a scheduler, in ms. */
-const OPEN_TIMEOUT_MS = 400;
+/** A scheduler that has sent nothing for this long after the link was requested is slow or gone, in ms. */
+const SLOW_OPEN_MS = 400;
 /** Time-out for the remaining messages of a scheduler that this VM leaves, in ms. */
 const LEAVE_TIMEOUT_MS = 200;
 /** Interval at which the time-outs are checked, in ms. */
@@ -30,7 +30,10 @@
 
 const Service = makeClientConstructor(LINK_SERVICE, "Scheduler");
 
-/** Opens a link to a scheduler in another process. Resolves when its first status arrives; rejects with `closed` or `silent` as the message. */
+/**
+ * Opens a link to a scheduler in another process. Resolves when its first
+ * status arrives; rejects with `closed` or `silent` as the message.
+ */
 export function openRemoteLink(options: {
   address: string;
   events: LinkEvents;
@@ -38,6 +41,10 @@
   readReport: () => VmReport;
   /** Whether this is a guest link, to another group's scheduler. Default: false. */
   isGuest?: boolean;
+  /** Time-out for the scheduler's first message, in ms. Each further attempt costs a slow scheduler another handshake. */
+  openTimeoutMs: number;
+  /** Called once when the scheduler is slow to open the link; the attempt goes on. */
+  onSlow: () => void;
   /** Called when the open link is lost. */
   onLost: (how: "closed" | "silent") => void;
   /** Aborts the attempt to open the link, as another process is the scheduler now. */
@@ -54,6 +61,7 @@
   const timeoutMs = isGuest ? GUEST_SCHEDULER_TIMEOUT_MS : SCHEDULER_TIMEOUT_MS;
   let receivedMs = readMonotonicMs();
   let isOpen = false;
+  let isSlow = false;
   let isClosed = false;
   let resolveLeft = () => {};
   const left = new Promise<void>((resolve) => {
@@ -89,10 +97,21 @@
       else reject(new Error(how));
     }
 
-    stopPoll = options.ticker.every(POLL_INTERVAL_MS, () => {
-      const limitMs = isOpen ? timeoutMs : OPEN_TIMEOUT_MS;
-      if (readMonotonicMs() - receivedMs > limitMs) failLink("silent");
-    });
+    function reviewSilence(): void {
+      const silentMs = readMonotonicMs() - receivedMs;
+      const limitMs = isOpen ? timeoutMs : options.openTimeoutMs;
+      if (silentMs > limitMs) failLink("silent");
+      else if (!isOpen && !isSlow && silentMs > SLOW_OPEN_MS) {
+        isSlow = true;
+        options.onSlow();
+      }
+    }
+
+    // setImmediate lets messages that arrived while this process was busy be read first.
+    stopPoll = options.ticker.every(
+      POLL_INTERVAL_MS,
+      () => setImmediate(reviewSilence),
+    );
 
     function handleMessage(message: SchedulerMessage): void {
       if (isClosed) return;
--- a/src/vm/start_link_server.ts
+++ b/src/vm/start_link_server.ts
@@ -45,12 +45,18 @@
   const current = host;
   let attachment: Attachment | undefined;
   let receivedMs = readMonotonicMs();
-  const timer = setInterval(() => {
+  // setImmediate lets messages that arrived while this process was busy be read first.
+  const timer = setInterval(
+    () => setImmediate(reviewSilence),
+    POLL_INTERVAL_MS,
+  );
+
+  function reviewSilence(): void {
     const isSilent = readMonotonicMs() - receivedMs > VM_TIMEOUT_MS;
     if (isSilent || stream.writableLength > MAX_UNREAD_MESSAGES) {
       closeLink("silent");
     }
-  }, POLL_INTERVAL_MS);
+  }
 
   function closeLink(how: "closed" | "silent"): void {
     clearInterval(timer);
--- a/test/vm/new_role_holder_test.ts
+++ b/test/vm/new_role_holder_test.ts
@@ -8,6 +8,7 @@
 import { formatRowKeys } from "../../src/vm/format_row_keys.ts";
 import type { openRemoteLink } from "../../src/vm/open_remote_link.ts";
 import type { SchedulerHost } from "../../src/vm/scheduler_host.ts";
+import type { SchedulerLink } from "../../src/vm/scheduler_link.ts";
 import type { SchedulerRow } from "../../src/vm/scheduler_row.ts";
 import type { WatchableTable } from "../../src/vm/watchable_table.ts";
 import { createMemoryTable } from "../fixtures/create_memory_table.ts";
@@ -43,6 +44,15 @@
   stop: () => {},
 };
 
+const LINK: SchedulerLink = {
+  epoch: 2,
+  isSolo: false,
+  submit: () => {},
+  abandon: () => {},
+  leave: () => Promise.resolve(),
+  close: () => {},
+};
+
 describe("a VM that can't link to a new role holder", () => {
   let nowMs = 0;
   let epochs: number[] = [];
@@ -138,6 +148,43 @@
     assert.deepEqual(epochs, [3]);
   });
 
+  /** Opens no link before `answersAfterMs`, as a process does whose processor is busy. */
+  function openSlowly(answersAfterMs: number) {
+    const attempts: number[] = [];
+    const openLink: typeof openRemoteLink = (
+      { openTimeoutMs = 400, onSlow = () => {} },
+    ) => {
+      attempts.push(nowMs);
+      setTimeout(onSlow, 400);
+      return new Promise((resolve, reject) => {
+        setTimeout(() => reject(new Error("silent")), openTimeoutMs);
+        if (answersAfterMs < Infinity) {
+          setTimeout(() => resolve(LINK), answersAfterMs);
+        }
+      });
+    };
+    return { attempts, openLink };
+  }
+
+  test("asks a slow role holder once, as each further request would cost it another handshake", async () => {
+    const { attempts, openLink } = openSlowly(900);
+    follow(openLink);
+    for (let beat = 0; beat < 10; beat += 1) {
+      const value = { epoch: 2, storeMs: nowMs };
+      await table.transact([{ type: "write", key: KEYS.heartbeat, value }]);
+      await wait(100);
+    }
+    assert.equal(attempts.length, 1);
+    assert.deepEqual(epochs, []);
+  });
+
+  test("takes over while a role holder without heartbeat opens no link", async () => {
+    const { openLink } = openSlowly(Infinity);
+    follow(openLink);
+    await wait(1_150);
+    assert.deepEqual(epochs, [3]);
+  });
+
   test("takes over early when the role holder's address refuses connections", async () => {
     follow(() => Promise.reject(new Error("closed")));
     await wait(500);
