--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -111,8 +111,6 @@
   let isAttaching = false;
   /** Aborts the current attempt to open a link. */
   let attempt = new AbortController();
-  /** Number of attempts to learn the role holder from other VMs, which are asked in turn. */
-  let peerAttempts = 0;
   /** Whether this VM has been linked to the current role holder, or has failed to link to it. */
   let isHolderTried = false;
   /** Succession order, as the scheduler last sent it. */
@@ -239,21 +237,42 @@
     log("schedulerKnown", { vm: value.vm, epoch: value.epoch, from: "peer" });
   }
 
-  /** Tries to link to the role holder and, while the store cannot be read, to another VM that may know a later role holder. */
+  /** Whether this VM has a link to its group's scheduler, rather than to its own in solo mode. */
+  function isLinkedToGroup(): boolean {
+    return slot.find() !== undefined && !solo;
+  }
+
+  /** Whether this VM is cut off from the store, as far as it knows. */
+  function isStoreLost(): boolean {
+    return watcher.isLost() || !options.readReport().isStoreReachable;
+  }
+
+  /** Tries to link to the role holder and, while the store cannot be read, to the other VMs, which may know a later role holder. */
   async function attach(value: SchedulerRow): Promise<void> {
     if (isAttaching) return;
     isAttaching = true;
     if (value.vm !== name) await attachToPeer(value);
-    const others = peers.list()
-      .filter((vm) => vm.name !== name && vm.name !== value.vm);
-    if (!slot.find() && watcher.isLost() && others.length > 0) {
-      const { address } = others[peerAttempts % others.length];
-      peerAttempts += 1;
-      await attachToPeer({ ...value, address });
-    }
+    if (isStoreLost()) await askPeers(value);
     isAttaching = false;
   }
 
+  /** Asks the other VMs in turn until one is the scheduler or names a later role holder than `known`, and links to that one. */
+  async function askPeers(known: SchedulerRow): Promise<void> {
+    const isSettled = () =>
+      isStopped || isLinkedToGroup() ||
+      row !== undefined && row.value.epoch > known.epoch;
+    for (const { name: vm, address } of peers.list()) {
+      if (isSettled()) break;
+      if (vm !== name && vm !== known.vm) {
+        await attachToPeer({ ...known, address });
+      }
+    }
+    if (isStopped || isLinkedToGroup() || !row) return;
+    if (row.value.epoch > known.epoch && row.value.vm !== name) {
+      await attachToPeer(row.value);
+    }
+  }
+
   /** Whether the process that `value` names still has the role, as far as this VM knows, and this VM still needs a link to that process. */
   function isStillHolder(value: SchedulerRow): boolean {
     return row?.value.incarnation === value.incarnation && !host && !isStopped;
@@ -271,9 +290,7 @@
         ticker: options.ticker,
         readReport: options.readReport,
         signal: attempt.signal,
-        openTimeoutMs: watcher.isLost()
-          ? PEER_OPEN_TIMEOUT_MS
-          : OPEN_TIMEOUT_MS,
+        openTimeoutMs: isStoreLost() ? PEER_OPEN_TIMEOUT_MS : OPEN_TIMEOUT_MS,
         onSlow: () => recordFailedAttempt(value, "silent"),
         onRedirect: (to) => {
           isRedirected = true;
@@ -386,9 +403,11 @@
   async function reviewSuperseded(): Promise<void> {
     if (isReviewing) return;
     isReviewing = true;
-    await watcher.readNow();
+    if (!isStoreLost()) await watcher.readNow();
     isReviewing = false;
-    if (host && watcher.isLost()) stopScheduler("superseded while cut off");
+    if (!host || !isStoreLost()) return;
+    stopScheduler("superseded while cut off");
+    delay.wake();
   }
 
   async function beginEpoch(): Promise<void> {
@@ -444,7 +463,7 @@
     const isOther = row !== undefined && row.value.vm !== name;
     // The takeover is considered while the attempt to link still runs, as the attempt may take long.
     // A VM that is itself the last role holder it knows of and cannot read the store tries to link to other VMs, which may know a later role holder.
-    if (row && (isOther || watcher.isLost())) void attach(row.value);
+    if (row && (isOther || isStoreLost())) void attach(row.value);
     if (isOther && (slot.find() && !solo || !isHolderTried)) return;
     if (await canTakeOver() && !isStopped && (!slot.find() || solo)) {
       await takeOver();
