--- a/src/metrics/registry.ts
+++ b/src/metrics/registry.ts
@@ -2,7 +2,7 @@
 export type Registry = {
   /** Adds one to a counter; each set of labels is a counter of its own. */
   count(name: string, labels?: Record<string, string>): void;
-  /** Creates a function that adds one to a counter, for counters that change often. */
+  /** Creates a counter that changes often; each call of the result adds one. */
   createCounter(name: string, labels?: Record<string, string>): () => void;
   /** Records a duration, in ms, in a histogram. */
   observe(name: string, durationMs: number): void;
--- a/src/vm/create_effect_runner.ts
+++ b/src/vm/create_effect_runner.ts
@@ -3,12 +3,12 @@
 import type { EventLog } from "./event_log.ts";
 import type { LinkEvents } from "./link_events.ts";
 
-/** A function for each type of effect, as matching patterns takes long compared to most effects. */
+/** How each type of effect is carried out. A table, as matching patterns takes long compared to most effects. */
 type EffectRunners = {
   [Type in Effect["type"]]: (effect: Extract<Effect, { type: Type }>) => void;
 };
 
-/** Creates the function that carries out the effects of a scheduler's decisions. */
+/** Creates a runner, to be called with each effect of a scheduler's decisions. */
 export function createEffectRunner(options: {
   sessions: Pick<ReturnType<typeof createEndpointSessions>, "start" | "stop">;
   /** Finds where to send messages to a linked VM. */
--- a/src/vm/create_event_counter.ts
+++ b/src/vm/create_event_counter.ts
@@ -16,7 +16,7 @@
   endStored: ["store_end_ms", "tookMs"],
 };
 
-/** Creates a function that counts log events and observes the durations of the steps that they end. Metrics derived from log events cannot disagree with the log. */
+/** Creates a counter, to be called with each log event, which also observes the duration of the step that the event ends. Metrics derived from log events cannot disagree with the log. */
 export function createEventCounter(
   registry: Registry,
 ): (event: EventName, fields?: EventFields) => void {
--- a/src/vm/decide_takeover.ts
+++ b/src/vm/decide_takeover.ts
@@ -4,6 +4,8 @@
 const STALE_NEW_HOLDER_MS = 900;
 /** Age at which the heartbeat of a scheduler whose address refuses connections is stale, in ms. */
 const STALE_REFUSED_MS = 300;
+/** Ranks by which a VM that should not take over waits longer. */
+const LAST_RANKS = 5;
 /** Additional wait per succession rank, in ms. */
 const RANK_DELAY_MS = 80;
 
@@ -21,8 +23,10 @@
   beatAgeMs: number | undefined;
   /** Succession rank, from 0. */
   rank: number;
-  /** A draining VM waits as if its succession rank were higher by 5. */
+  /** A draining or slowed VM waits as if its succession rank were higher by 5. */
   isDraining: boolean;
+  /** Whether this VM's processor has become slow. */
+  isSlowed: boolean;
   /** Whether there has never been a scheduler. */
   isVacant: boolean;
   /** Whether this VM learned of the role holder only a moment ago. */
@@ -30,7 +34,8 @@
 }): "takeOver" | "wait" {
   const staleIfSilentMs = seen.isNew ? STALE_NEW_HOLDER_MS : STALE_HEARTBEAT_MS;
   const staleMs = seen.how === "closed" ? STALE_REFUSED_MS : staleIfSilentMs;
-  const rankMs = (seen.rank + (seen.isDraining ? 5 : 0)) * RANK_DELAY_MS;
+  const isLast = seen.isDraining || seen.isSlowed;
+  const rankMs = (seen.rank + (isLast ? LAST_RANKS : 0)) * RANK_DELAY_MS;
   if (seen.isVacant) return seen.lostForMs > rankMs ? "takeOver" : "wait";
   const ageMs = seen.beatAgeMs ?? seen.lostForMs;
   return ageMs > staleMs + rankMs ? "takeOver" : "wait";
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -342,13 +342,15 @@
       successionIndex: vms.findIndex((vm) => vm.name === name),
       strength: settings.strength,
     });
+    const { isDraining, slowedMs } = options.readReport();
     const seen = {
       how: lostHow,
       lostForMs: slot.computeUnlinkedMs(),
       beatAgeMs: heartbeat.ageMs,
       rank,
       isVacant: row === undefined,
-      isDraining: options.readReport().isDraining,
+      isDraining,
+      isSlowed: slowedMs > 0,
       isNew: readMonotonicMs() - holderKnownMs < NEW_HOLDER_MS,
     };
     const decision = decideTakeover(seen);
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -5,8 +5,7 @@
 import { createSchedulerState } from "../scheduler/create_scheduler_state.ts";
 import { describeGroupCapacity } from "../scheduler/describe_group_capacity.ts";
 import { describeGauges } from "../scheduler/describe_gauges.ts";
-import { isSchedulerTooSlow } from "../decide/is_scheduler_too_slow.ts";
-import { isSchedulerTooWeak } from "../decide/is_scheduler_too_weak.ts";
+import { findResignationReason } from "../decide/find_resignation_reason.ts";
 import { canHaveStoredJobs } from "../scheduler/can_have_stored_jobs.ts";
 import { setEndpointTakenOver } from "../scheduler/set_endpoint_taken_over.ts";
 import { dropVm } from "../scheduler/drop_vm.ts";
@@ -49,8 +48,6 @@
 const HEARTBEATS_PER_GUEST_HEARTBEAT = 2;
 /** A VM with a mean event-loop delay of this or more comes after the others in the succession order, in ms. */
 const MAX_SUCCESSOR_LOOP_DELAY_MS = 20;
-/** A scheduler resigns to a stronger VM at the earliest this long after its start or its last resignation, in ms: until then VMs link and the runs become known. */
-const MIN_ROLE_MS = 3_000;
 /** For this long after a heartbeat was sent no other VM can have taken the role, in ms: less than the age at which a heartbeat is stale. */
 const ROLE_EXCLUSIVE_MS = 280;
 /** After a failed read the list of endpoints may lack entries; it counts as reliable again after this time, in ms. */
@@ -78,8 +75,7 @@
   /** The other VMs known at the start: they count as lost until they link. */
   vms: LinkedVm[];
   configurationVersion: () => number;
-  /** Mean event-loop delay of this process, in ms. */
-  readLoopDelayMs: () => number;
+  readReport: () => Pick<VmReport, "loopDelayMs" | "slowedMs">;
   /** Whether there may be stored jobs, as the last scheduler reported. */
   hasKeptJobs: boolean;
   /** Whether this group runs the stored jobs. */
@@ -238,6 +234,7 @@
       .sort(([, one], [, other]) =>
         Number(other.report?.isStoreReachable) -
           Number(one.report?.isStoreReachable) ||
+        Number(isSlowed(one)) - Number(isSlowed(other)) ||
         Number(hasLowLoopDelay(other)) - Number(hasLowLoopDelay(one)) ||
         readStrength(other) - readStrength(one)
       )
@@ -344,23 +341,21 @@
     resignToStrongerVm();
   }
 
-  /** Resigns when the first successor has clearly less event-loop delay or more processor strength. */
+  /** Resigns when the first successor has a clearly faster, less loaded or stronger processor. */
   function resignToStrongerVm(): void {
+    if (isSolo) return;
     const nowMs = readMonotonicMs();
-    if (isSolo || nowMs - Math.max(startedMs, resignedMs) < MIN_ROLE_MS) return;
     const [best] = listSuccessors();
     const report = links.get(best)?.report;
     if (!report?.isStoreReachable) return;
-    const delayMs = options.readLoopDelayMs();
-    const isSlow = isSchedulerTooSlow({
-      delayMs,
-      successorDelayMs: report.loopDelayMs,
-    });
-    if (!isSlow && !isSchedulerTooWeak(settings.strength, report.strength)) {
-      return;
-    }
+    const reason = findResignationReason({
+      ...options.readReport(),
+      strength: settings.strength,
+      roleAgeMs: nowMs - Math.max(startedMs, resignedMs),
+    }, report);
+    if (!reason) return;
     resignedMs = nowMs;
-    resign(isSlow ? "slow" : "weaker");
+    resign(reason);
   }
 
   /** Counts the lost VMs that had been lost for less than `withinMs` at the time `atMs`. */
@@ -466,6 +461,10 @@
   return report?.strength ?? 0;
 }
 
+function isSlowed({ report }: Link): boolean {
+  return report !== undefined && report.slowedMs > 0;
+}
+
 /** Whether a VM's event-loop delay leaves time for a scheduler's work. */
 function hasLowLoopDelay({ report }: Link): boolean {
   return report !== undefined &&
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -17,6 +17,7 @@
 import { listGroups } from "../group/list_groups.ts";
 import { createGuestLinks } from "./create_guest_links.ts";
 import { createEventLoopMonitor } from "./create_event_loop_monitor.ts";
+import { createSlowdownMonitor } from "./create_slowdown_monitor.ts";
 import { createTicker } from "./create_ticker.ts";
 import { createStoredJobsView } from "./create_stored_jobs_view.ts";
 import { pollGroupSummaries } from "./poll_group_summaries.ts";
@@ -57,6 +58,7 @@
   const storedJobsView = createStoredJobsView();
   const ticker = createTicker();
   const eventLoop = createEventLoopMonitor(ticker);
+  const slowdown = createSlowdownMonitor(ticker, settings);
   /** The scheduler rows of all groups, by key. */
   const holders = new Map<string, SchedulerRow>();
   let follower: ReturnType<typeof followScheduler> | undefined;
@@ -73,6 +75,7 @@
     dataCentre: settings.dataCentre,
     strength: settings.strength,
     loopDelayMs: eventLoop.readDelayMs(),
+    slowedMs: slowdown.readSlowedMs(),
     isGuest: false,
     isDraining,
     isStoreReachable: options.isStoreReachable(),
@@ -163,7 +166,7 @@
           ...start,
           isSolo: soloPeers !== undefined,
           hasOtherGroups: others.length > 0,
-          readLoopDelayMs: eventLoop.readDelayMs,
+          readReport,
           runsStoredJobs: group === groups[0],
           roleKey: keys.scheduler,
           knownEndpointIds: soloPeers
@@ -235,6 +238,7 @@
       endpointCache.stop();
       jobs.close();
       eventLoop.stop();
+      slowdown.stop();
       ticker.stop();
       await server.stop();
     },
--- a/src/vm/vm_report.ts
+++ b/src/vm/vm_report.ts
@@ -8,6 +8,8 @@
   strength: number;
   /** Mean event-loop delay, in ms. */
   loopDelayMs: number;
+  /** How long the VM's processor has been slow, in ms; 0 while it is not. */
+  slowedMs: number;
   /** Whether this is a guest link: the VM belongs to another group, submits only jobs that its own scheduler passed, and never takes over here. */
   isGuest: boolean;
   isDraining: boolean;
--- a/test/decide/succession_test.ts
+++ b/test/decide/succession_test.ts
@@ -12,6 +12,7 @@
   beatAgeMs: 100,
   rank: 0,
   isDraining: false,
+  isSlowed: false,
   isVacant: false,
   isNew: false,
 } as const;
--- a/test/vm/follow_scheduler_test.ts
+++ b/test/vm/follow_scheduler_test.ts
@@ -149,7 +149,7 @@
           ports,
           log: () => {},
           configurationVersion: () => 1,
-          readLoopDelayMs: () => 0,
+          readReport: () => ({ loopDelayMs: 0, slowedMs: 0 }),
           runsStoredJobs: false,
           roleKey: KEYS.scheduler,
           knownEndpointIds: [],
--- a/test/vm/scheduler_host_test.ts
+++ b/test/vm/scheduler_host_test.ts
@@ -59,7 +59,7 @@
       onSuperseded: () => {},
       vms: VMS.slice(1),
       configurationVersion: () => 1,
-      readLoopDelayMs: () => 0,
+      readReport: () => ({ loopDelayMs: 0, slowedMs: 0 }),
       hasKeptJobs: false,
       runsStoredJobs: false,
       roleKey: "role",
