--- a/src/vm/create_open_jobs.ts
+++ b/src/vm/create_open_jobs.ts
@@ -215,7 +215,8 @@
       else guestLinks.delete(group);
       if (!next || next.isSolo) startReview();
       if (!next) return;
-      for (const job of jobs.values()) {
+      // The youngest first: after a time without a scheduler the oldest are late already, and would take the free capacity.
+      for (const job of [...jobs.values()].reverse()) {
         if (job.group === group) submitToScheduler(job);
       }
     },
--- a/test/vm/resubmit_to_later_scheduler_test.ts
+++ b/test/vm/resubmit_to_later_scheduler_test.ts
@@ -54,6 +54,17 @@
     assert.deepEqual(outcomes, [{ type: "completed" }]);
   }
 
+  test("is submitted before the older jobs, which are late already", () => {
+    for (const id of ["j1", "j2", "j3"]) {
+      jobs.submit(createOrder({ id }), () => {});
+    }
+    const submitted: string[] = [];
+    const link = world.link(earlier, { name: "vm-3", events: jobs.events });
+    jobs.setLink({ ...link, submit: ({ id }) => submitted.push(id) });
+
+    assert.deepEqual(submitted, ["j3", "j2", "j1"]);
+  });
+
   test("runs once when a start of the earlier scheduler, which has stopped, is carried out late", async () => {
     world.setCallDelay(({ kind, host }) =>
       kind === "start" && host === "vm-1" ? 900 : 1
