--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -1,4 +1,5 @@
 import { addRun } from "./add_run.ts";
+import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -29,7 +30,8 @@
   task.run = run;
   task.phase = "running";
   // Reset what is known of the task's earlier run; none of it applies to the adopted run.
-  task.startConfirmedMs = nowMs;
+  task.startConfirmedMs = 0;
+  confirmStart(endpoint, task, { nowMs });
   task.stoppedByMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -1,4 +1,5 @@
 import { applyUnmatchedRunEnd } from "./apply_unmatched_run_end.ts";
+import { confirmStart } from "./confirm_start.ts";
 import type { EndpointListing } from "./endpoint_listing.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { endRun } from "./end_run.ts";
@@ -98,7 +99,7 @@
       recordForeignRun(state, endpoint, { task: name, run, sentMs, nowMs });
       continue;
     }
-    if (task.startConfirmedMs === 0) task.startConfirmedMs = nowMs;
+    confirmStart(endpoint, task, { nowMs });
     recordProgress(state, endpoint, { task, progress, nowMs });
     if (task.phase !== "starting" && task.phase !== "unsure") continue;
     task.phase = "running";
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordFailure } from "./record_failure.ts";
 import { placeTasks } from "./place_tasks.ts";
@@ -22,7 +23,7 @@
 export function applyStartReply(
   state: SchedulerState,
   run: { endpointId: string; task: ScheduledTask; run: number },
-  received: { reply: StartReply; nowMs: number },
+  received: { reply: StartReply & { clockMs?: number }; nowMs: number },
 ): void {
   const { task } = run;
   const endpoint = state.endpoints.get(run.endpointId);
@@ -33,7 +34,7 @@
   // The frequent reply, decided without the cost of matching patterns.
   if (reply.type === "accepted") {
     if (task.phase === "starting") task.phase = "running";
-    if (task.startConfirmedMs === 0) task.startConfirmedMs = nowMs;
+    confirmStart(endpoint, task, { nowMs, clockMs: reply.clockMs });
     if (task.job.outcome) stopRun(state, endpoint, task);
     return;
   }
--- a/src/scheduler/apply_stop_reply.ts
+++ b/src/scheduler/apply_stop_reply.ts
@@ -1,3 +1,4 @@
+import { confirmStart } from "./confirm_start.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /**
@@ -12,7 +13,7 @@
 ): void {
   const endpoint = state.endpoints.get(run.endpointId);
   const task = endpoint?.runs.get(run.task);
-  if (!task || task.run !== run.run) return;
-  if (task.startConfirmedMs === 0) task.startConfirmedMs = nowMs;
+  if (!endpoint || !task || task.run !== run.run) return;
+  confirmStart(endpoint, task, { nowMs });
   task.stoppedByMs = nowMs + state.limits.stopMs;
 }
--- a/src/scheduler/compute_lease_end.ts
+++ b/src/scheduler/compute_lease_end.ts
@@ -1,3 +1,4 @@
+import { computeEndpointClock } from "./compute_endpoint_clock.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -16,6 +17,7 @@
     return undefined;
   }
   if (endpoint.leaseExpiryClockMs > 0) return undefined;
-  const clockMs = endpoint.clockMs + (nowMs - endpoint.lastReplyMs);
-  return Math.floor(clockMs + state.limits.leaseMs);
+  return Math.floor(
+    computeEndpointClock(endpoint, nowMs) + state.limits.leaseMs,
+  );
 }
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -70,6 +70,7 @@
     run: 0,
     startSentMs: 0,
     startConfirmedMs: 0,
+    startedClockMs: 0,
     stoppedByMs: 0,
     failures: 0,
     failedRun: 0,
--- a/src/scheduler/end_run.ts
+++ b/src/scheduler/end_run.ts
@@ -38,7 +38,7 @@
     recordJobChange(state, task.job, endId);
   }
   if (how === "done") {
-    learnRunTime(state, endpoint, { task, nowMs });
+    learnRunTime(state, endpoint, task);
     finishTask(state, task, nowMs);
   } else if (how === "failed") {
     recordFailure(state, endpoint, { task, nowMs });
--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -17,9 +17,8 @@
 export function learnRunTime(
   state: SchedulerState,
   endpoint: EndpointRecord,
-  run: { task: ScheduledTask; nowMs: number },
+  task: ScheduledTask,
 ): void {
-  const { task, nowMs } = run;
   if (endpoint.consecutiveFailures > 0) {
     endpoint.consecutiveFailures = 0;
     recordEvent(state, "endpointRested", {
@@ -28,7 +27,8 @@
     });
   }
   if (task.startConfirmedMs === 0) return;
-  const tookMs = nowMs - task.startConfirmedMs;
+  // By the endpoint's clock, as this process may be late in reading the reply and the listing.
+  const tookMs = endpoint.clockMs - task.startedClockMs;
   const step = task.job.order.steps[task.step];
   const expectedMs = Math.max(1, task.job.criticalPathMs, step.estimateMs / 2);
   const ratio = Math.min(
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -5,6 +5,7 @@
 import { addRun } from "./add_run.ts";
 import { BinaryHeap } from "../utils/binary_heap.ts";
 import type { ServiceCapacity } from "./service_capacity.ts";
+import { computeEndpointClock } from "./compute_endpoint_clock.ts";
 import { computeRunNumber } from "./compute_run_number.ts";
 import { computeServiceCapacity } from "./compute_service_capacity.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
@@ -115,6 +116,7 @@
   task.phase = "starting";
   task.startSentMs = nowMs;
   task.startConfirmedMs = 0;
+  task.startedClockMs = 0;
   task.stoppedByMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
@@ -126,7 +128,7 @@
   addRun(endpoint, task);
   const endpointId = endpoint.row.id;
   const leaseEndMs = Math.floor(
-    endpoint.clockMs + (nowMs - endpoint.lastReplyMs) + state.limits.leaseMs,
+    computeEndpointClock(endpoint, nowMs) + state.limits.leaseMs,
   );
   endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
   const vms = [...job.vms];
--- a/src/scheduler/record_progress.ts
+++ b/src/scheduler/record_progress.ts
@@ -19,7 +19,9 @@
   run: { task: ScheduledTask; progress: number; nowMs: number },
 ): void {
   const { task, progress, nowMs } = run;
-  const elapsedMs = nowMs - task.startConfirmedMs;
+  // By the endpoint's clock, as this process may be late in reading the reply and the listing.
+  const elapsedMs = Math.max(0, endpoint.clockMs - task.startedClockMs);
+  const startedMs = nowMs - elapsedMs;
   const previousEndMs = task.expectedEndMs;
   const expectedMs = task.job.criticalPathMs * endpoint.slowness;
   task.progress = progress;
@@ -29,11 +31,11 @@
     expectedMs,
     nowMs,
   });
-  const totalMs = task.expectedEndMs - task.startConfirmedMs;
+  const totalMs = task.expectedEndMs - startedMs;
   const isSlow = totalMs > SLOW_RUN_RATIO * expectedMs;
   if (
     !isSlow ||
-    previousEndMs > task.startConfirmedMs + SLOW_RUN_RATIO * expectedMs
+    previousEndMs > startedMs + SLOW_RUN_RATIO * expectedMs
   ) return;
   const ratio = totalMs / task.job.criticalPathMs;
   endpoint.slowness = Math.exp(
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -17,6 +17,8 @@
   startSentMs: number;
   /** When the start was confirmed, in ms; 0 before that. */
   startConfirmedMs: number;
+  /** The endpoint's clock when it confirmed the start, in ms; 0 before that. */
+  startedClockMs: number;
   /** When a confirmed stop has taken effect at the latest, in ms; 0 while no stop is confirmed. */
   stoppedByMs: number;
   /** Number of failed runs. */
--- a/src/vm/send_start.ts
+++ b/src/vm/send_start.ts
@@ -35,7 +35,7 @@
   state: SchedulerState,
   session: EndpointSession,
   start: Start,
-): Promise<StartReply> {
+): Promise<StartReply & { clockMs?: number }> {
   const { client, answers } = session;
   const { task, run, leaseEndMs, endpointId } = start;
   for (let earlierSends = 0; earlierSends < MAX_SENDS; earlierSends += 1) {
