Split follow_scheduler and start_scheduler_host

Change: create_holder_linker opens links to the role holder and asks other VMs; create_vm_links keeps a scheduler's links, its lost VMs and the succession order; no change of what they decide.

--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -4,6 +4,7 @@
 import { computeSuccessionRank } from "../decide/compute_succession_rank.ts";
 import { computeFencingToken } from "./compute_fencing_token.ts";
 import { createPeerList } from "./create_peer_list.ts";
+import { createHolderLinker } from "./create_holder_linker.ts";
 import { createInterruptibleDelay } from "./create_interruptible_delay.ts";
 import { createLinkSlot } from "./create_link_slot.ts";
 import { decideTakeover } from "./decide_takeover.ts";
@@ -17,7 +18,6 @@
 import { openRemoteLink } from "./open_remote_link.ts";
 import { readHeartbeat } from "./read_heartbeat.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
-import type { SchedulerLink } from "./scheduler_link.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
 import { takeSchedulerRow } from "./take_scheduler_row.ts";
 import type { Ticker } from "./ticker.ts";
@@ -35,10 +35,6 @@
 const SOLO_DELAY_MS = 700;
 /** Where other groups exist and the store answers, a VM that reaches no scheduler for this long enters solo mode, in ms. A takeover takes less time, and a group's endpoints divided into shares serve few callers. */
 const GROUPED_SOLO_DELAY_MS = 2_500;
-/** Time-out for the first message of a role holder, in ms: a process that has just started, or taken the role, is slow. */
-const OPEN_TIMEOUT_MS = 1_200;
-/** Time-out for the first message while the store cannot be read, in ms: the VM asks several others in turn. */
-const PEER_OPEN_TIMEOUT_MS = 400;
 /** Interval at which a VM checks whether to enter solo mode, in ms. */
 const SOLO_POLL_INTERVAL_MS = 100;
 /** Minimum time between two raises of the epoch, in ms: within it the endpoints answer a scheduler that has raised its epoch. */
@@ -98,7 +94,6 @@
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log, storedJobsView } = options;
-  const openLink = options.openLink ?? openRemoteLink;
   const keys = formatRowKeys(options.group);
   const { name } = settings;
   let row: TableRow<SchedulerRow> | undefined;
@@ -108,9 +103,6 @@
   /** Whether there may be stored jobs; true until a scheduler reports that there are none. */
   let hasKeptJobs = true;
   let isLeavingScheduler = false;
-  let isAttaching = false;
-  /** Aborts the current attempt to open a link. */
-  let attempt = new AbortController();
   /** Whether this VM has been linked to the current role holder, or has failed to link to it. */
   let isHolderTried = false;
   /** Succession order, as the scheduler last sent it. */
@@ -152,7 +144,7 @@
 
   /** Discards the findings on the earlier role holder, which do not apply to the current one. */
   function beginWithNewHolder(): void {
-    attempt.abort();
+    linker.abort();
     isHolderTried = false;
     lostHow = "silent";
     holderKnownMs = readMonotonicMs();
@@ -247,91 +239,38 @@
     return watcher.isLost() || !options.readReport().isStoreReachable;
   }
 
-  /** Tries to link to the role holder and, while the store cannot be read, to the other VMs, which may know a later role holder. */
-  async function attach(value: SchedulerRow): Promise<void> {
-    if (isAttaching) return;
-    isAttaching = true;
-    if (value.vm !== name) await attachToPeer(value);
-    if (isStoreLost()) await askPeers(value);
-    isAttaching = false;
-  }
-
-  /** Asks the other VMs in turn until one is the scheduler or names a later role holder than `known`, and links to that one. */
-  async function askPeers(known: SchedulerRow): Promise<void> {
-    const isSettled = () =>
-      isStopped || isLinkedToGroup() ||
-      row !== undefined && row.value.epoch > known.epoch;
-    for (const { name: vm, address } of peers.list()) {
-      if (isSettled()) break;
-      if (vm !== name && vm !== known.vm) {
-        await attachToPeer({ ...known, address });
-      }
-    }
-    if (isStopped || isLinkedToGroup() || !row) return;
-    if (row.value.epoch > known.epoch && row.value.vm !== name) {
-      await attachToPeer(row.value);
-    }
-  }
-
-  /** Whether the process that `value` names still has the role, as far as this VM knows, and this VM still needs a link to that process. */
-  function isStillHolder(value: SchedulerRow): boolean {
-    return row?.value.incarnation === value.incarnation && !host && !isStopped;
-  }
-
-  async function attachToPeer(value: SchedulerRow): Promise<void> {
-    let opened: SchedulerLink | undefined;
-    let isLinkLost = false;
-    let isRedirected = false;
-    attempt = new AbortController();
-    try {
-      const next = await openLink({
-        address: value.address,
-        events,
-        ticker: options.ticker,
-        readReport: options.readReport,
-        signal: attempt.signal,
-        openTimeoutMs: isStoreLost() ? PEER_OPEN_TIMEOUT_MS : OPEN_TIMEOUT_MS,
-        onSlow: () => recordFailedAttempt(value, "silent"),
-        onRedirect: (to) => {
-          isRedirected = true;
-          applyRedirect(to);
-        },
-        onLost: (how) => {
-          isLinkLost = true;
-          if (slot.find() !== opened) return;
-          lostHow = how;
-          isHolderTried = true;
-          slot.drop(how);
-          delay.wake();
-        },
-      });
-      opened = next;
-      if (isStillHolder(value)) await leaveEarlierScheduler();
-      if (isLinkLost) return;
-      // This VM may have become the scheduler itself while it was leaving the earlier scheduler.
-      if (!isStillHolder(value)) {
-        next.close();
-        return;
-      }
+  const linker = createHolderLinker({
+    name,
+    events,
+    ticker: options.ticker,
+    log,
+    openLink: options.openLink ?? openRemoteLink,
+    readReport: options.readReport,
+    listPeers: peers.list,
+    findHolder: () => row?.value,
+    isStoreLost,
+    isLinkNeeded: () => !isStopped && !host && !isLinkedToGroup(),
+    isStillHolder: (holder) =>
+      row?.value.incarnation === holder.incarnation && !host && !isStopped,
+    onRedirect: applyRedirect,
+    onFailed: (holder, how) => {
+      if (row?.value.incarnation !== holder.incarnation) return;
+      isHolderTried = true;
+      lostHow = how;
+    },
+    onLost: (link, how) => {
+      if (slot.find() !== link) return;
+      lostHow = how;
+      isHolderTried = true;
+      slot.drop(how);
+      delay.wake();
+    },
+    leaveEarlierScheduler,
+    onLinked: (link, holder) => {
       stopSolo();
-      slot.set(next, value.incarnation);
-    } catch (thrown) {
-      const message = isRedirected ? "turnedAway" : readError(thrown).message;
-      // A process that refuses the link with a redirect runs, and may have taken the role a moment ago.
-      recordFailedAttempt(value, message === "closed" ? "closed" : "silent");
-      log("linkNotOpened", { vm: value.vm, epoch: value.epoch, message });
-    }
-  }
-
-  /** Records that the role holder that `value` names has not opened a link, unless this VM knows of a later holder. */
-  function recordFailedAttempt(
-    value: SchedulerRow,
-    how: "closed" | "silent",
-  ): void {
-    if (row?.value.incarnation !== value.incarnation) return;
-    isHolderTried = true;
-    lostHow = how;
-  }
+      slot.set(link, holder.incarnation);
+    },
+  });
 
   async function canTakeOver(): Promise<boolean> {
     const heartbeat = await readHeartbeat(ports.table, keys.heartbeat);
@@ -465,7 +404,7 @@
     const isOther = row !== undefined && row.value.vm !== name;
     // The takeover is considered while the attempt to link still runs, as the attempt may take long.
     // A VM that is itself the last role holder it knows of and cannot read the store tries to link to other VMs, which may know a later role holder.
-    if (row && (isOther || isStoreLost())) void attach(row.value);
+    if (row && (isOther || isStoreLost())) void linker.attach(row.value);
     if (isOther && (slot.find() && !solo || !isHolderTried)) return;
     if (await canTakeOver() && !isStopped && (!slot.find() || solo)) {
       await takeOver();
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -22,12 +22,14 @@
 import type { Attachment } from "./attachment.ts";
 import { createEffectRunner } from "./create_effect_runner.ts";
 import { createEndpointSessions } from "./create_endpoint_sessions.ts";
+import { createVmLinks } from "./create_vm_links.ts";
 import type { EventLog } from "./event_log.ts";
 import type { GroupSummary } from "./group_summary.ts";
 import type { LinkedVm } from "./linked_vm.ts";
 import type { LinkEvents } from "./link_events.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
 import type { SchedulerStatus } from "./scheduler_status.ts";
+import type { VmLink } from "./vm_link.ts";
 import type { VmPorts } from "./vm_ports.ts";
 import type { VmReport } from "./vm_report.ts";
 import type { VmSettings } from "./vm_settings.ts";
@@ -38,28 +40,15 @@
 const ENDPOINTS_POLL_INTERVAL_MS = 400;
 /** Interval at which the list of endpoints is read where other groups exist, in ms; longer, because the schedulers of all groups read this large list. */
 const GROUPED_ENDPOINTS_POLL_INTERVAL_MS = 1_000;
-/** A lost VM is no longer listed after this time, and its endpoints are reclaimed, in ms. */
-const LOST_VM_RETENTION_MS = 15_000;
-/** A lost VM may be in solo mode for this long, in ms: longer than VMs are cut off. */
-const SOLO_VM_RETENTION_MS = 60_000;
 /** Interval between two heartbeats to the VMs of the group, in ms. */
 const HEARTBEAT_INTERVAL_MS = 100;
 /** Over a guest link only one in this many heartbeats is sent. */
 const HEARTBEATS_PER_GUEST_HEARTBEAT = 2;
-/** A VM with a mean event-loop delay of this or more comes after the others in the succession order, in ms. */
-const MAX_SUCCESSOR_LOOP_DELAY_MS = 20;
 /** For this long after a heartbeat was sent no other VM can have taken the role, in ms: less than the age at which a heartbeat is stale. */
 const ROLE_EXCLUSIVE_MS = 280;
 /** After a failed read the list of endpoints may lack entries; it counts as reliable again after this time, in ms. */
 const LIST_RELIABLE_AFTER_MS = 2_500;
 
-type Link = {
-  events: LinkEvents;
-  report?: VmReport;
-  /** Version of the VM list that was last sent over the link. */
-  sentVmListVersion: number;
-};
-
 /** Starts a scheduler in this process, for the group or in solo mode. */
 export function startSchedulerHost(options: {
   epoch: number;
@@ -107,16 +96,14 @@
   const startedMs = readMonotonicMs();
   /** When the last heartbeat that reached the store was sent, in ms. */
   let heartbeatSentMs = startedMs;
-  const links = new Map<string, Link>();
+  const { name, dataCentre, peerAddress: address } = settings;
+  const links = createVmLinks({ name, dataCentre, address }, options.vms);
   let heartbeatCount = 0;
   /** The list of VMs that is sent to the linked VMs, its JSON text, and the number of its changes as a version. */
   let vmList = { vms: [] as LinkedVm[], text: "", version: 0 };
   let resignedMs = 0;
   /** Summary of the group that runs the stored jobs, if that is another group. */
   let otherGroupStoredJobs: GroupSummary | undefined;
-  const lostVms = new Map(
-    options.vms.map((vm) => [vm.name, { ...vm, lostMs: readMonotonicMs() }]),
-  );
   let isStopped = false;
   let listFailedMs = 0;
 
@@ -132,7 +119,7 @@
 
   const runEffect = createEffectRunner({
     sessions,
-    findLinkEvents: (vm) => links.get(vm)?.events,
+    findLinkEvents: (vm) => links.find(vm)?.events,
     log,
   });
 
@@ -175,19 +162,19 @@
   }
 
   function attach(vm: string, events: LinkEvents): Attachment {
-    const link: Link = { events, sentVmListVersion: 0 };
+    const link: VmLink = { events, sentVmListVersion: 0 };
     // The earlier link of the VM is dropped; the VM resubmits the jobs that it still has.
-    if (links.has(vm)) {
+    if (links.find(vm)) {
       applyDecision((nowMs) => dropVm(state, vm, { how: "silent", nowMs }));
     }
-    links.set(vm, link);
-    log("vmLinked", { vm, epoch, links: links.size });
-    const isCurrent = () => links.get(vm) === link;
+    links.add(vm, link);
+    log("vmLinked", { vm, epoch, links: links.count() });
+    const isCurrent = () => links.find(vm) === link;
     return {
       report: (report) => {
         const isFirst = link.report === undefined;
         link.report = report;
-        lostVms.delete(vm);
+        links.recordReport(vm);
         if (isFirst) sendStatus(link, describeStatus());
       },
       submit: (order, progress) => {
@@ -203,8 +190,8 @@
         ),
       leave: () => {
         if (!isCurrent()) return;
-        links.delete(vm);
-        log("vmLeft", { vm, epoch, links: links.size });
+        links.remove(vm);
+        log("vmLeft", { vm, epoch, links: links.count() });
         applyDecision((nowMs) => dropVm(state, vm, { how: "silent", nowMs }));
         events.left();
         // A VM of the group leaves only for a later scheduler.
@@ -213,61 +200,20 @@
       },
       handleLost: (how) => {
         if (!isCurrent()) return;
-        links.delete(vm);
-        if (link.report && !link.report.isDraining && !link.report.isGuest) {
-          const { dataCentre, address } = link.report;
-          const lostMs = readMonotonicMs();
-          lostVms.set(vm, { name: vm, dataCentre, address, lostMs });
-        }
-        log("vmLost", { vm, how, epoch, links: links.size });
+        links.remove(vm);
+        links.recordLoss(vm, link);
+        log("vmLost", { vm, how, epoch, links: links.count() });
         applyDecision((nowMs) => dropVm(state, vm, { how, nowMs }));
       },
     };
   }
 
-  function listSuccessors(): string[] {
-    return [...links.entries()]
-      .filter(([name, { report }]) =>
-        name !== settings.name && report && !report.isDraining &&
-        !report.isGuest
-      )
-      .sort(([, one], [, other]) =>
-        Number(other.report?.isStoreReachable) -
-          Number(one.report?.isStoreReachable) ||
-        Number(isSlowed(one)) - Number(isSlowed(other)) ||
-        Number(hasLowLoopDelay(other)) - Number(hasLowLoopDelay(one)) ||
-        readStrength(other) - readStrength(one)
-      )
-      .map(([name]) => name);
-  }
-
-  /** Lists the VMs that lost their link recently or have not linked yet. Each may be in solo mode and use its share of the endpoints, which are divided among all VMs of `listVms`. */
-  function listLostVms(): LinkedVm[] {
-    const nowMs = readMonotonicMs();
-    return [...lostVms.values()]
-      .filter(({ name, lostMs }) =>
-        !links.has(name) && nowMs - lostMs < LOST_VM_RETENTION_MS
-      )
-      .map(({ name, dataCentre, address }) => ({ name, dataCentre, address }));
-  }
-
-  /** Lists all VMs: successors first, this VM last, as it cannot be its own successor. */
-  function listVms(): LinkedVm[] {
-    const others = listSuccessors().map((name) => ({
-      name,
-      dataCentre: links.get(name)?.report?.dataCentre ?? "",
-      address: links.get(name)?.report?.address ?? "",
-    }));
-    const { name, dataCentre, peerAddress: address } = settings;
-    return [...others, ...listLostVms(), { name, dataCentre, address }];
-  }
-
   function resign(reason: string): boolean {
-    const name = listSuccessors().find((one) =>
-      reason === "stop" || links.get(one)?.report?.isStoreReachable
+    const to = links.listSuccessors().find((one) =>
+      reason === "stop" || links.find(one)?.report?.isStoreReachable
     );
-    const chosen = name === undefined ? undefined : links.get(name);
-    log("schedulerResigned", { epoch, to: name, reason });
+    const chosen = to === undefined ? undefined : links.find(to);
+    log("schedulerResigned", { epoch, to, reason });
     chosen?.events.resignation(reason);
     return chosen !== undefined;
   }
@@ -277,10 +223,7 @@
     for (const { phase, row } of state.endpoints.values()) {
       if (phase === "taken") dataCentres.add(row.dataCentre);
     }
-    const nowMs = readMonotonicMs();
-    for (const { dataCentre, lostMs } of lostVms.values()) {
-      if (nowMs - lostMs < LOST_VM_RETENTION_MS) dataCentres.delete(dataCentre);
-    }
+    for (const lost of links.listLostDataCentres()) dataCentres.delete(lost);
     return dataCentres;
   }
 
@@ -298,7 +241,7 @@
   }
 
   function describeStatus(): SchedulerStatus {
-    const vms = listVms();
+    const vms = links.listVms();
     const text = JSON.stringify(vms);
     if (text !== vmList.text) {
       vmList = { vms, text, version: vmList.version + 1 };
@@ -319,7 +262,7 @@
     };
   }
 
-  function sendStatus(link: Link, status: SchedulerStatus): void {
+  function sendStatus(link: VmLink, status: SchedulerStatus): void {
     const hasSentVmList = link.sentVmListVersion === vmList.version;
     const maySendVmList = link.report !== undefined && !link.report.isGuest;
     if (hasSentVmList || !maySendVmList) {
@@ -333,7 +276,7 @@
   function sendHeartbeat(): void {
     heartbeatCount += 1;
     const status = describeStatus();
-    for (const link of links.values()) {
+    for (const link of links.list()) {
       const isDue = !link.report?.isGuest ||
         heartbeatCount % HEARTBEATS_PER_GUEST_HEARTBEAT === 0;
       if (isDue) sendStatus(link, status);
@@ -345,8 +288,8 @@
   function resignToStrongerVm(): void {
     if (isSolo) return;
     const nowMs = readMonotonicMs();
-    const [best] = listSuccessors();
-    const report = links.get(best)?.report;
+    const [best] = links.listSuccessors();
+    const report = links.find(best)?.report;
     if (!report?.isStoreReachable) return;
     const reason = findResignationReason({
       ...options.readReport(),
@@ -358,30 +301,10 @@
     resign(reason);
   }
 
-  /** Counts the lost VMs that had been lost for less than `withinMs` at the time `atMs`. */
-  function countLostVms(atMs: number, withinMs: number): number {
-    return [...lostVms.values()].filter(({ lostMs }) =>
-      atMs - lostMs < withinMs
-    ).length;
-  }
-
-  /**
-   * Whether no other VM can take the role, because no linked VM reaches the
-   * store. A VM that was lost at the last written heartbeat, or since, may
-   * still run and reach the store, however long ago it was lost.
-   */
-  function isTakeoverImpossible(): boolean {
-    const isAnyLost = countLostVms(heartbeatSentMs, LOST_VM_RETENTION_MS) > 0;
-    const others = [...links].filter(([vm, { report }]) =>
-      vm !== settings.name && !report?.isGuest
-    );
-    return !isAnyLost && others.length > 0 &&
-      others.every(([, { report }]) => report?.isStoreReachable === false);
-  }
-
   function advance(nowMs: number): void {
-    state.lostVmCount = countLostVms(nowMs, SOLO_VM_RETENTION_MS);
-    if (!isSolo && isTakeoverImpossible()) confirmRole(nowMs);
+    state.lostVmCount = links.countSoloVms(nowMs);
+    // A VM that was lost at the last written heartbeat, or since, may still run and reach the store, however long ago it was lost.
+    if (!isSolo && links.isStoreLostForAll(heartbeatSentMs)) confirmRole(nowMs);
     advanceScheduler(state, nowMs);
   }
 
@@ -421,7 +344,7 @@
       confirmRole(atMs);
     },
     attach,
-    listSuccessors,
+    listSuccessors: links.listSuccessors,
     resign,
     describeSummary: () => ({
       rooms: describeGroupCapacity(state),
@@ -442,7 +365,7 @@
     readGauges: () => ({
       ...describeGauges(state, readMonotonicMs()),
       scheduler_epoch: epoch,
-      scheduler_links: links.size,
+      scheduler_links: links.count(),
     }),
     stop: () => {
       if (isStopped) return;
@@ -451,22 +374,8 @@
       clearInterval(heartbeatTimer);
       storedJobSync?.stop();
       sessions.close();
-      for (const { events } of links.values()) events.left();
+      for (const { events } of links.list()) events.left();
       log("schedulerEnded", { epoch, jobs: state.jobs.size, isSolo });
     },
   };
 }
-
-function readStrength({ report }: Link): number {
-  return report?.strength ?? 0;
-}
-
-function isSlowed({ report }: Link): boolean {
-  return report !== undefined && report.slowedMs > 0;
-}
-
-/** Whether a VM's event-loop delay leaves time for a scheduler's work. */
-function hasLowLoopDelay({ report }: Link): boolean {
-  return report !== undefined &&
-    report.loopDelayMs < MAX_SUCCESSOR_LOOP_DELAY_MS;
-}
