Share the idle scheduler host of two tests

Cause: cut_off_from_store_test and new_role_holder_test had the same stub. Change: test/fixtures/create_idle_host.ts; no check changed.

--- a/test/vm/cut_off_from_store_test.ts
+++ b/test/vm/cut_off_from_store_test.ts
@@ -7,8 +7,8 @@
 import { followScheduler } from "../../src/vm/follow_scheduler.ts";
 import { formatRowKeys } from "../../src/vm/format_row_keys.ts";
 import type { openRemoteLink } from "../../src/vm/open_remote_link.ts";
-import type { SchedulerHost } from "../../src/vm/scheduler_host.ts";
 import type { SchedulerRow } from "../../src/vm/scheduler_row.ts";
+import { createIdleHost } from "../fixtures/create_idle_host.ts";
 import { createMemoryTable } from "../fixtures/create_memory_table.ts";
 import { createVmReport } from "../fixtures/create_vm_report.ts";
 import { createVmSettings } from "../fixtures/create_vm_settings.ts";
@@ -30,28 +30,6 @@
   return { vm, incarnation: `${vm}-${epoch}`, address: vm, epoch };
 }
 
-function createHost(epoch: number): SchedulerHost {
-  return {
-    epoch,
-    attach: () => ({
-      report: () => {},
-      submit: () => {},
-      abandon: () => {},
-      leave: () => {},
-      handleLost: () => {},
-    }),
-    listSuccessors: () => [],
-    resign: () => false,
-    listReclaimableDataCentres: () => new Set(),
-    beginEpoch: () => {},
-    confirmRole: () => {},
-    describeSummary: () => ({ rooms: [] }),
-    setGroupSummaries: () => {},
-    readGauges: () => ({}),
-    stop: () => {},
-  };
-}
-
 describe("a VM that is cut off from the store, but not from the other VMs", () => {
   let nowMs = 0;
   let isStoreLost = false;
@@ -140,7 +118,7 @@
         }),
       startHost: (start) => {
         onSuperseded = start.onSuperseded;
-        return createHost(start.epoch);
+        return createIdleHost(start.epoch);
       },
       onVersionSeen: () => {},
       storedJobsView: createStoredJobsView(),
--- a/test/vm/new_role_holder_test.ts
+++ b/test/vm/new_role_holder_test.ts
@@ -7,10 +7,10 @@
 import { followScheduler } from "../../src/vm/follow_scheduler.ts";
 import { formatRowKeys } from "../../src/vm/format_row_keys.ts";
 import type { openRemoteLink } from "../../src/vm/open_remote_link.ts";
-import type { SchedulerHost } from "../../src/vm/scheduler_host.ts";
 import type { SchedulerLink } from "../../src/vm/scheduler_link.ts";
 import type { SchedulerRow } from "../../src/vm/scheduler_row.ts";
 import type { WatchableTable } from "../../src/vm/watchable_table.ts";
+import { createIdleHost } from "../fixtures/create_idle_host.ts";
 import { createMemoryTable } from "../fixtures/create_memory_table.ts";
 import { createVmReport } from "../fixtures/create_vm_report.ts";
 import { createVmSettings } from "../fixtures/create_vm_settings.ts";
@@ -24,26 +24,6 @@
   epoch: 2,
 };
 
-const HOST: SchedulerHost = {
-  epoch: 3,
-  attach: () => ({
-    report: () => {},
-    submit: () => {},
-    abandon: () => {},
-    leave: () => {},
-    handleLost: () => {},
-  }),
-  listSuccessors: () => [],
-  resign: () => false,
-  listReclaimableDataCentres: () => new Set(),
-  beginEpoch: () => {},
-  confirmRole: () => {},
-  describeSummary: () => ({ rooms: [] }),
-  setGroupSummaries: () => {},
-  readGauges: () => ({}),
-  stop: () => {},
-};
-
 const LINK: SchedulerLink = {
   epoch: 2,
   isSolo: false,
@@ -99,7 +79,7 @@
       readReport: () => createVmReport({ name: "vm-2", address: "two:1" }),
       startHost: ({ epoch, soloPeers }) => {
         if (!soloPeers) epochs.push(epoch);
-        return { ...HOST, epoch };
+        return createIdleHost(epoch);
       },
       onVersionSeen: () => {},
       storedJobsView: createStoredJobsView(),
