--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -55,6 +55,7 @@
     if (hasLapsed || clockMs() <= leaseEndMs) return;
     hasLapsed = true;
     lapses += 1;
+    record(`${id}: the lease lapses`);
     for (const task of [...running.keys()]) endRun(task, "lapsed");
   }
 
