--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -64,6 +64,8 @@
 }
 
 const usedPorts = new Set();
+/** All processes that were started, also by a start that has not finished. */
+const children = [];
 
 /** Finds free ports below the ephemeral ones, of which an outgoing connection could take one before the process listens on it. */
 async function findPorts(count) {
@@ -207,6 +209,7 @@
       stdio: ["ignore", log, log],
       env: { PATH: process.env.PATH, CHIVEGRADE_NODE_FILE: file },
     });
+    children.push(child);
     const vm = { name, zone, child, port: ports[0], readyPort: ports[1] };
     child.on("exit", (code, signal) => {
       vm.hasExited = true;
@@ -315,11 +318,15 @@
     system = await startSystem({ record, ...options });
     return system;
   };
-  const limit = setTimeout(() => {
-    record("the case took too long");
-    system?.stop();
+  const abort = (reason) => {
+    record(`the case is ended: ${reason}`);
+    for (const child of children) child.kill("SIGKILL");
     process.exit(2);
-  }, 115_000);
+  };
+  const limit = setTimeout(() => abort("it took too long"), 115_000);
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.on(signal, () => abort(signal));
+  }
   try {
     const found = await play({ start, record, isTrouble });
     for (const line of found.broken) record(`BROKEN ${line}`);
