--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,11 @@
 import { createId, runCase, wait, waitUntil } from "../lib/system.mjs";
 
 const MAX_ATTEMPTS = 3;
+/** Jobs that can never be done. */
 const JOBS = 6;
 const TASKS = 8;
+/** Jobs that can be done, handed in after the others. */
+const SOUND_JOBS = 120;
 /** A run of a task that can never be done ends failed after this, in ms. */
 const RUN_MS = 300;
 /** Other work occupies the first minions for this long, in ms. */
@@ -48,7 +51,11 @@
       }],
     },
   });
-  await waitUntil(() => system.listStarts().length === OTHER_TASKS, 2_000, 2);
+  await waitUntil(
+    () => system.listStarts().length === OTHER_TASKS,
+    2_000,
+    2,
+  );
   for (const [index, id] of ids.entries()) {
     const call = { method: "POST", id, body };
     const reply = await system.send(others[index % 2], call);
@@ -61,7 +68,11 @@
     }
     return counts;
   };
-  await waitUntil(() => countTaskStarts().size > JOBS, 5_000, 5);
+  await waitUntil(
+    () => countTaskStarts().size > OTHER_TASKS + JOBS,
+    5_000,
+    5,
+  );
   if (isTrouble) {
     record("store: down, answers 503");
     store.isDown = true;
@@ -85,6 +96,16 @@
     record("store: back");
   }
   await other;
+  // With these the jobs that fail are 6 of 127 that are handed in within 3 s.
+  await wait(300);
+  for (let index = 0; index < SOUND_JOBS; index += 1) {
+    const sound = {
+      spec: JSON.stringify({ ms: 60, how: "done" }),
+      steps: [{ count: 1, cpu: 1_000, memMb: 64, estimateMs: 60 }],
+    };
+    const id = createId(200 + index);
+    await system.send(others[index % 2], { method: "POST", id, body: sound });
+  }
   const isFailed = async (id) =>
     (await system.send(others[0], { id })).text?.includes("failed");
   const areFailed = async () =>
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,6 +1,8 @@
 import { createId, runCase, wait } from "../lib/system.mjs";
 
 const JOBS = 4;
+/** Jobs that are not cancelled, so that a quarter of all is. */
+const OTHER_JOBS = 12;
 const TASKS = 4;
 const RUN_MS = 500;
 const DEADLINE_MS = 1_500;
@@ -8,7 +10,7 @@
 /** Length of the disruption of the store, in ms. */
 const LOST_FOR_MS = 1_000;
 /** Time after which a write without an answer is carried out, in ms. */
-const LATE_MS = 6_000;
+const LATE_MS = 5_800;
 /** The core is stable, and calm machines are in touch, this long after the disruption, in ms. */
 const CONTACT_MS = 3_000;
 
@@ -31,14 +33,21 @@
     spec: JSON.stringify({ ms: RUN_MS, how: "done" }),
     steps: [{ count: TASKS, cpu: 1_000, memMb: 64, estimateMs: RUN_MS }],
   };
+  for (let index = 0; index < OTHER_JOBS; index += 1) {
+    const id = createId(100 + index);
+    await system.send(vms[index % 3], { method: "POST", id, body });
+  }
+  const counts = { writes: 0, lost: 0 };
   const lostFromMs = performance.now();
   const lostUntilMs = lostFromMs + LOST_FOR_MS;
   if (isTrouble) {
     record(`store: for ${LOST_FOR_MS} ms answers to some writes are lost`);
     store.findLateMs = ({ setKeys = [] }) => {
-      const isHit = performance.now() < lostUntilMs &&
-        setKeys.some(({ key }) => ids.includes(key));
-      return isHit ? LATE_MS : undefined;
+      if (performance.now() > lostUntilMs) return undefined;
+      counts.writes += 1;
+      if (!setKeys.some(({ key }) => ids.includes(key))) return undefined;
+      counts.lost += 1;
+      return LATE_MS;
     };
   }
   const acks = new Map();
@@ -70,6 +79,7 @@
     );
   }
   const summary = `${acks.size} of ${JOBS} cancellings acknowledged, ` +
+    `${counts.lost} of ${counts.writes} writes lost, ` +
     `${system.listStarts().length} starts`;
   return { broken, summary };
 });
