Don't take a run as lost whose end a full listing hides

Cause: an endpoint lists 500 run ends at a time, until they are acknowledged, and ends of stored jobs are acknowledged once the store has them. A run that ended as number 501 or later was in neither list, and applyListing took it as lost.

Change: a listing with as many ends as an endpoint lists at a time shows nothing about runs that it lacks, and no task starts where its end might not be listed. Why it works: the end of each run that was started is listed at some time, and until then nothing counts the run as over but the expiry of the lease, after which its end does not count.

Looked at without a finding: replaced processes, expired leases, repeated starts, ends of unknown jobs, solo mode.

--- a/bench/load_model/run_load.ts
+++ b/bench/load_model/run_load.ts
@@ -26,6 +26,7 @@
 const LATE_CREDIT_SHARE = 0.2;
 const SCHEDULER_LIMITS = {
   leaseMs: 1_000,
+  maxListedEnds: 500,
   stopMs: 50,
   remoteFactor: 1.5,
   resendMs: 1_300,
--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -39,7 +39,14 @@
   ],
   startUnanswered: ["task", "run", "endpoint"],
   taskEnded: ["task", "run", "endpoint", "how", "tookMs"],
-  taskRequeued: ["task", "run", "reason", "endpoint", "listedAgoMs"],
+  taskRequeued: [
+    "task",
+    "run",
+    "reason",
+    "endpoint",
+    "listedAgoMs",
+    "listedEnds",
+  ],
   runAdopted: [
     "task",
     "run",
@@ -73,6 +80,7 @@
   // Endpoints, as the scheduler sees them
   endpointAdded: ["endpoint", "address", "dataCentre", "cpu"],
   endpointListed: ["endpoint", "wasPhase", "running"],
+  endpointListFull: ["endpoint", "running", "listedEnds"],
   endpointDraining: ["endpoint"],
   endpointGone: ["endpoint"],
   endpointSilent: ["endpoint", "silentMs", "runs"],
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -5,6 +5,7 @@
 import { computeGracePeriod } from "./compute_grace_period.ts";
 import { computeMinClock } from "./compute_min_clock.ts";
 import { expireLeases } from "./expire_leases.ts";
+import { hasHiddenEnds } from "./has_hidden_ends.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
@@ -55,7 +56,7 @@
 ): void {
   for (const task of [...endpoint.runs.values()]) {
     if (task.stoppedByMs === 0 || task.stoppedByMs > nowMs) continue;
-    if (task.job.order.isKept && !isEndListed(endpoint, task)) continue;
+    if (task.job.order.isKept && !isEndListed(state, endpoint, task)) continue;
     dropRun(endpoint, task);
     retryTask(state, task, { reason: "stopped", endpoint, nowMs });
   }
@@ -66,8 +67,12 @@
  * job must not run again if it was done before the stop took effect, so its
  * end has to be ruled out first.
  */
-function isEndListed(endpoint: EndpointRecord, task: ScheduledTask): boolean {
-  return endpoint.phase === "usable" &&
+function isEndListed(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  task: ScheduledTask,
+): boolean {
+  return endpoint.phase === "usable" && !hasHiddenEnds(state, endpoint) &&
     endpoint.listingRequestedMs > task.stoppedByMs;
 }
 
@@ -78,7 +83,8 @@
   nowMs: number,
 ): void {
   if (endpoint.phase !== "silent" && endpoint.phase !== "taken") return;
-  if (endpoint.runs.size === 0 && endpoint.foreignRuns.size === 0) return;
+  const hasRuns = endpoint.runs.size > 0 || endpoint.foreignRuns.size > 0;
+  if (!hasRuns && !hasHiddenEnds(state, endpoint)) return;
   if (
     computeMinClock(endpoint, nowMs) <
       endpoint.leaseEndMs + LEASE_EXPIRY_MARGIN_MS
@@ -89,6 +95,8 @@
     silentMs: Math.round(nowMs - endpoint.lastReplyMs),
   });
   dropRuns(state, endpoint, { reason: "lapsed", nowMs });
+  // Run ends from before the expiry of a lease do not count after it.
+  endpoint.listedEndCount = 0;
 }
 
 /** Stops foreign runs whose jobs were not submitted within the grace period. */
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -4,6 +4,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { endRun } from "./end_run.ts";
 import { dropRuns } from "./drop_runs.ts";
+import { hasHiddenEnds } from "./has_hidden_ends.ts";
 import { recordClock } from "./record_clock.ts";
 import { recordForeignLease } from "./record_foreign_lease.ts";
 import { recordForeignRun } from "./record_foreign_run.ts";
@@ -43,9 +44,10 @@
   }
   endpoint.processStartMs = listing.processStartMs;
   endpoint.listingRequestedMs = listing.sentMs;
+  recordEndCount(state, endpoint, listing);
   recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
   if (endpoint.phase !== "usable") recordForeignLease(state, endpoint);
-  if (endpoint.phase === "taken") {
+  if (endpoint.phase === "taken" && !hasHiddenEnds(state, endpoint)) {
     dropRuns(state, endpoint, { reason: "taken", nowMs });
   }
   for (const end of listing.ended) applyEnd(state, endpoint, { end, nowMs });
@@ -62,6 +64,22 @@
   placeTasks(state, nowMs);
 }
 
+/** Records how many run ends the endpoint listed, and logs when later ones may be hidden from now on. */
+function recordEndCount(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  listing: EndpointListing,
+): void {
+  const wereHidden = hasHiddenEnds(state, endpoint);
+  endpoint.listedEndCount = listing.ended.length;
+  if (wereHidden || !hasHiddenEnds(state, endpoint)) return;
+  recordEvent(state, "endpointListFull", {
+    endpoint: endpoint.row.id,
+    running: listing.running.length,
+    listedEnds: endpoint.listedEndCount,
+  });
+}
+
 /** Applies a run end that has not been applied before. */
 function applyEnd(
   state: SchedulerState,
@@ -85,7 +103,7 @@
   applyUnmatchedRunEnd(state, endpoint, { end, nowMs });
 }
 
-/** Applies the active runs of a listing, and drops runs and foreign runs that the listing lacks. */
+/** Applies the active runs of a listing, and drops runs and foreign runs that the listing lacks unless it may hide their ends. */
 function applyRunning(
   state: SchedulerState,
   endpoint: EndpointRecord,
@@ -104,6 +122,7 @@
     if (task.phase !== "starting" && task.phase !== "unsure") continue;
     task.phase = "running";
   }
+  if (hasHiddenEnds(state, endpoint)) return;
   for (const task of [...endpoint.runs.values()]) {
     const isMissing = task.startConfirmedMs > 0 &&
       task.startConfirmedMs < listing.sentMs &&
--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -1,3 +1,4 @@
+import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { readTaskResources } from "./read_task_resources.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -24,7 +25,7 @@
     const { foreignRuns } = endpoint;
     // The task must not run twice: wait until the end of its foreign run is listed or that endpoint's lease has expired.
     if (foreignRuns.size > 0 && foreignRuns.has(task.name)) return undefined;
-    if (!canStart(endpoint, task, nowMs)) continue;
+    if (!canStart(state, endpoint, { task, nowMs })) continue;
     const cost = computeCost(state, endpoint, task);
     if (cost >= bestCost) continue;
     best = endpoint;
@@ -35,10 +36,11 @@
 
 /** Whether the endpoint may start the task now. */
 function canStart(
+  state: SchedulerState,
   endpoint: EndpointRecord,
-  task: ScheduledTask,
-  nowMs: number,
+  start: { task: ScheduledTask; nowMs: number },
 ): boolean {
+  const { task, nowMs } = start;
   const { row, used, phase } = endpoint;
   if (phase !== "usable" || row.isDraining) return false;
   // Starting a task extends the endpoint's lease, but another scheduler may count the foreign runs there as ended once that lease expires.
@@ -47,6 +49,7 @@
   }
   if (row.service !== task.job.order.service) return false;
   if (endpoint.backoffUntilMs > nowMs) return false;
+  if (!canListFurtherEnd(state, endpoint)) return false;
   if (endpoint.consecutiveFailures > 0 && endpoint.runs.size > 0) return false;
   const resources = readTaskResources(task);
   if (used.cpu + resources.cpu > row.room.cpu) return false;
--- a/src/scheduler/compute_service_capacity.ts
+++ b/src/scheduler/compute_service_capacity.ts
@@ -1,3 +1,4 @@
+import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { ServiceCapacity } from "./service_capacity.ts";
 
@@ -6,9 +7,12 @@
   state: SchedulerState,
 ): Map<string, ServiceCapacity> {
   const capacities = new Map<string, ServiceCapacity>();
-  for (const { row, phase, used } of state.endpoints.values()) {
+  for (const endpoint of state.endpoints.values()) {
+    const { row, phase, used } = endpoint;
     if (phase !== "usable" || row.isDraining) continue;
-    const free = Math.max(0, row.room.cpu - used.cpu);
+    const free = canListFurtherEnd(state, endpoint)
+      ? Math.max(0, row.room.cpu - used.cpu)
+      : 0;
     const capacity = capacities.get(row.service) ??
       { free: 0, total: 0, maxFreePerEndpoint: 0 };
     capacity.free += free;
--- a/src/scheduler/count_startable_tasks.ts
+++ b/src/scheduler/count_startable_tasks.ts
@@ -1,3 +1,4 @@
+import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { JobOrder } from "./job_order.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -8,8 +9,10 @@
 ): number {
   const cpu = Math.max(1, order.steps[0]?.room.cpu ?? 1);
   let count = 0;
-  for (const { row, phase, used } of state.endpoints.values()) {
+  for (const endpoint of state.endpoints.values()) {
+    const { row, phase, used } = endpoint;
     if (phase !== "usable" || row.isDraining) continue;
+    if (!canListFurtherEnd(state, endpoint)) continue;
     if (row.service !== order.service) continue;
     count += Math.max(0, Math.floor((row.room.cpu - used.cpu) / cpu));
   }
--- a/src/scheduler/describe_group_capacity.ts
+++ b/src/scheduler/describe_group_capacity.ts
@@ -1,4 +1,5 @@
 import type { GroupCapacity } from "../decide/group_capacity.ts";
+import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** Describes, for the schedulers of other groups, how many more average tasks of each service could start here. */
@@ -11,9 +12,11 @@
     waiting.set(order.service, queued + waitingTaskCount);
   }
   const startable = new Map<string, number>();
-  for (const { row, phase, used } of state.endpoints.values()) {
+  for (const endpoint of state.endpoints.values()) {
+    const { row, phase, used } = endpoint;
     const taskCpu = state.taskCpu.get(row.service);
     if (phase !== "usable" || row.isDraining || !taskCpu) continue;
+    if (!canListFurtherEnd(state, endpoint)) continue;
     const count = Math.max(0, Math.floor((row.room.cpu - used.cpu) / taskCpu));
     startable.set(row.service, (startable.get(row.service) ?? 0) + count);
   }
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -16,6 +16,8 @@
   runs: Map<string, ScheduledTask>;
   /** Runs that the endpoint lists and that this scheduler neither started nor adopted, by task name. */
   foreignRuns: Map<string, ForeignRun>;
+  /** Number of run ends in the latest listing; 0 once the lease has expired, as those ends do not count any more. */
+  listedEndCount: number;
   /** Number of the last run end that was applied. */
   lastEndNumber: number;
   /** Numbers of applied run ends that the endpoint must go on listing, each with the time until which it must, in ms. */
--- a/src/scheduler/release_held_tasks.ts
+++ b/src/scheduler/release_held_tasks.ts
@@ -1,3 +1,4 @@
+import { hasHiddenEnds } from "./has_hidden_ends.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -11,13 +12,17 @@
       state.missingEndpoints.delete(id);
     }
   }
+  const endpoints = [...state.endpoints.values()];
   const areAllListed = !state.isSolo && state.endpoints.size > 0 &&
     state.missingEndpoints.size === 0 &&
-    [...state.endpoints.values()].every(({ phase }) => phase === "usable");
+    endpoints.every(({ phase }) => phase === "usable");
+  const mayHideEnds = endpoints.some((one) => hasHiddenEnds(state, one));
   const oldestMs = findOldestListing(state);
   for (const job of state.waiting) {
     for (const task of job.tasks) {
       if (task.heldUntilMs === 0) continue;
+      // A hidden end may be that of the task.
+      if (mayHideEnds && job.order.isKept) continue;
       const isTimedOut = nowMs > task.heldUntilMs;
       const isReady = areAllListed && isRunRuledOut(state, task, oldestMs);
       if (isTimedOut || isReady) task.heldUntilMs = 0;
--- a/src/scheduler/retry_task.ts
+++ b/src/scheduler/retry_task.ts
@@ -26,5 +26,6 @@
     reason,
     endpoint: endpoint.row.id,
     listedAgoMs: Math.round(nowMs - endpoint.listingRequestedMs),
+    listedEnds: endpoint.listedEndCount,
   });
 }
--- a/src/scheduler/scheduler_limits.ts
+++ b/src/scheduler/scheduler_limits.ts
@@ -8,4 +8,6 @@
   remoteFactor: number;
   /** Time after which a caller resends a request whose connection was lost, in ms. */
   resendMs: number;
+  /** Most run ends that an endpoint lists at a time; it lists later ones once these are acknowledged. */
+  maxListedEnds: number;
 };
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -1,6 +1,7 @@
 import { computeAcknowledgedEnd } from "./compute_acknowledged_end.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointRow } from "./endpoint_row.ts";
+import { hasHiddenEnds } from "./has_hidden_ends.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -28,6 +29,7 @@
     computeAcknowledgedEnd(state, endpoint, read.nowMs);
     const { runs, foreignRuns, unacknowledgedEnds } = endpoint;
     if (runs.size + foreignRuns.size + unacknowledgedEnds.size > 0) continue;
+    if (hasHiddenEnds(state, endpoint)) continue;
     state.endpoints.delete(id);
     if (endpoint.phase !== "usable") state.missingEndpoints.set(id, read.nowMs);
     recordEvent(state, "endpointGone", { endpoint: id });
@@ -67,6 +69,7 @@
     used: { cpu: 0, memoryMb: 0, gpus: 0 },
     runs: new Map(),
     foreignRuns: new Map(),
+    listedEndCount: 0,
     lastEndNumber: 0,
     unacknowledgedEnds: new Map(),
     listingRequestedMs: 0,
--- a/stand_ins/node/start_worker.ts
+++ b/stand_ins/node/start_worker.ts
@@ -37,6 +37,8 @@
 
 /** `how` of a run end that a stop order caused. */
 const STOPPED = "stopped";
+/** Most run ends that one listing has. */
+const MAX_LISTED_ENDS = 500;
 /** Maximum progress listed for a run that has not ended, in per cent. */
 const MAX_LISTED_PERCENT = 99;
 
@@ -141,7 +143,11 @@
     ]);
     return {
       status: 200,
-      body: { ...describeProcess(), running: listed, finished: runEnds },
+      body: {
+        ...describeProcess(),
+        running: listed,
+        finished: runEnds.slice(0, MAX_LISTED_ENDS),
+      },
     };
   }
 
--- a/test/scheduler/logged_decisions_test.ts
+++ b/test/scheduler/logged_decisions_test.ts
@@ -6,6 +6,7 @@
 import { dropVm } from "../../src/scheduler/drop_vm.ts";
 import { reclaimEndpoints } from "../../src/scheduler/reclaim_endpoints.ts";
 import { createSchedulerDriver } from "../fixtures/create_scheduler_driver.ts";
+import { SCHEDULER_LIMITS } from "../fixtures/scheduler_limits.ts";
 
 type Driver = ReturnType<typeof createSchedulerDriver>;
 
@@ -54,6 +55,18 @@
     dropVm(driver.state, "vm-1", { how: "closed", nowMs: 0 });
     driver.collect();
   },
+  endpointListFull: (driver) => {
+    const ended = Array.from(
+      { length: SCHEDULER_LIMITS.maxListedEnds },
+      (_, index) => ({
+        number: index + 1,
+        task: `k.0.0.${index}`,
+        run: 8,
+        how: "stopped" as const,
+      }),
+    );
+    driver.list("e1", { ended });
+  },
   endpointDraining: (driver) => driver.updateRow("e1", { isDraining: true }),
   endpointGone: (driver) => {
     driver.addIdleEndpoint("e2");
