Don't store a job whose cancelling was acknowledged before

Cause: a job is stored on condition that it has no end record. cancelStoredJob found neither row nor end record, answered that there is no such job and left nothing behind, so the condition of a late or repeated write still held.

The record is deleted after the retention period like the others, now also by a scheduler that never had a stored job.

Related paths looked at: the cancel request of a stored job and the end record of an ended one (conditions name the row), the read of the state.

--- a/src/stored_jobs/create_job_writer.ts
+++ b/src/stored_jobs/create_job_writer.ts
@@ -4,6 +4,8 @@
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import { classifyStoreError } from "./classify_store_error.ts";
+import type { EndRecord } from "./end_record.ts";
+import { findStoredRow } from "./find_stored_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 import type { StoredJobRow } from "./stored_job_row.ts";
 import type { StoreOutcome } from "./store_outcome.ts";
@@ -72,19 +74,47 @@
         for (const { resolve } of batch) resolve("stored");
         return;
       }
-      const known = new Set(result.keys.map(STORED_JOB_KEYS.parseId));
-      if (batch.some(({ id }) => known.has(id))) handleKnownJobs(batch, known);
-      else await handleFailure(batch, "unknown");
+      await handleConflict(batch, new Set(result.keys));
     } catch (thrown) {
       await handleFailure(batch, classifyStoreError(thrown));
     }
   }
 
   /** A job that the store already has makes the whole transaction fail; the other jobs go into the next write. */
-  function handleKnownJobs(batch: PendingJob[], known: Set<string>): void {
-    for (const job of batch) {
-      if (known.has(job.id)) job.resolve("known");
-      else pending.unshift(job);
+  async function handleConflict(
+    batch: PendingJob[],
+    conflicts: Set<string>,
+  ): Promise<void> {
+    const ended = batch.filter(({ id }) =>
+      conflicts.has(STORED_JOB_KEYS.formatEnd(id))
+    );
+    const stored = batch.filter(({ id }) =>
+      conflicts.has(STORED_JOB_KEYS.formatJob(id))
+    );
+    if (ended.length + stored.length === 0) {
+      await handleFailure(batch, "unknown");
+      return;
+    }
+    for (const { resolve } of stored) resolve("known");
+    const known = new Set([...ended, ...stored]);
+    pending.unshift(...batch.filter((job) => !known.has(job)));
+    for (const job of ended) await resolveEndedJob(job);
+  }
+
+  /** Resolves a job that has an end record, which a job that was cancelled before it was stored has as well. */
+  async function resolveEndedJob(job: PendingJob): Promise<void> {
+    try {
+      const key = STORED_JOB_KEYS.formatEnd(job.id);
+      const record = await findStoredRow(table, key);
+      if (!record) {
+        // It has expired since, so the job can be stored again.
+        pending.push(job);
+        return;
+      }
+      const { state } = record.value as EndRecord;
+      job.resolve(state === "withdrawn" ? "withdrawn" : "known");
+    } catch {
+      await handleFailure([job], "unknown");
     }
   }
 
--- a/src/stored_jobs/start_stored_job_sync.ts
+++ b/src/stored_jobs/start_stored_job_sync.ts
@@ -27,7 +27,7 @@
   /** Reads the retention period of end records, in ms. */
   readEndRetentionMs: () => number;
 }): { stop(): void } {
-  const { table, state, log } = options;
+  const { table, log } = options;
   const saver = saveStoredJobs(options);
   const watcher = watchStoredJobs({
     ...options,
@@ -35,7 +35,6 @@
   });
 
   async function dropExpired(): Promise<void> {
-    if (!state.hasKeptJobs) return;
     try {
       const jobs = await dropExpiredEndRecords(table, {
         endedBeforeMs: Date.now() - options.readEndRetentionMs(),
