Read a job and its cancel request in the same batch

What callers could see: after a takeover with 50 stored jobs or more, a job whose cancelling was acknowledged before starts and is stopped at once.

Cause: stored jobs are read in batches of 50 rows, between which timers release and place held jobs, and a cancel request, the row after its job's, could be the first row of a batch.

Change: a batch does not end between a job and its cancel request. Why it works: no timer runs between the two rows.

Related paths looked at: the feed (one step for all its rows), pages of an answer (joined before the first batch).

--- a/src/stored_jobs/watch_stored_jobs.ts
+++ b/src/stored_jobs/watch_stored_jobs.ts
@@ -30,6 +30,14 @@
   mayHaveRun: boolean;
 };
 
+/** Finds where the batch that begins at `start` ends: not between a job and its cancel request, which is the next row. */
+function findBatchEnd(rows: TableRow[], start: number): number {
+  const end = start + ROWS_PER_BATCH;
+  const next = rows[end];
+  const splitsJob = next && STORED_JOB_KEYS.parseJob(next.key).isCancelRequest;
+  return splitsJob ? end + 1 : end;
+}
+
 /** Reads all stored jobs into the scheduler, then watches the store for new jobs and cancel requests. */
 export function watchStoredJobs(options: {
   table: WatchableTable;
@@ -60,9 +68,11 @@
 
   /** Processes many rows in batches, so that heartbeats and links are served between two batches. */
   async function applyInBatches(read: ReadRows): Promise<void> {
-    for (let start = 0; start < read.rows.length; start += ROWS_PER_BATCH) {
-      const rows = read.rows.slice(start, start + ROWS_PER_BATCH);
-      applyRows({ ...read, rows });
+    let start = 0;
+    while (start < read.rows.length) {
+      const end = findBatchEnd(read.rows, start);
+      applyRows({ ...read, rows: read.rows.slice(start, end) });
+      start = end;
       await setImmediate();
       if (isStopped) return;
     }
--- a/test/stored_jobs/watching_test.ts
+++ b/test/stored_jobs/watching_test.ts
@@ -13,7 +13,10 @@
 afterEach(() => stop());
 
 /** Watches a table in which an earlier scheduler left jobs. */
-async function startWatching(jobs: number) {
+async function startWatching(
+  jobs: number,
+  options: { isLastCancelled?: boolean } = {},
+) {
   const table = createMemoryTable();
   for (let index = 0; index < jobs; index += 1) {
     const order = createOrder({ id: `j${index}`, isKept: true });
@@ -21,6 +24,10 @@
     const key = `chivegrade-jobs/j${index}`;
     await table.transact([{ type: "insert", key, value }]);
   }
+  if (options.isLastCancelled) {
+    const key = `chivegrade-jobs/j${jobs - 1}.cancel`;
+    await table.transact([{ type: "write", key, value: {} }]);
+  }
   const driver = createSchedulerDriver({ areStoredJobsRead: false });
   const watcher = watchStoredJobs({
     table,
@@ -59,4 +66,19 @@
     }
     await waitFor(() => driver.state.areStoredJobsRead);
   });
+
+  // A job whose cancel request was in the next batch could start between the two.
+  test("a cancelled job is not known as open at any time while the jobs of an earlier scheduler are read", async () => {
+    for (let jobs = 40; jobs <= 60; jobs += 1) {
+      const driver = await startWatching(jobs, { isLastCancelled: true });
+      const id = `j${jobs - 1}`;
+      while (!driver.state.areStoredJobsRead) {
+        const job = driver.state.jobs.get(id);
+        assert.ok(!job || job.outcome, `open at ${jobs} jobs`);
+        await setImmediate();
+      }
+      assert.ok(driver.state.jobs.get(id)?.outcome);
+      stop();
+    }
+  });
 });
