Count failed runs in whichever order a later scheduler hears of them

Cause: a task kept the number of its last failed run, and a failed run with a lower number was taken as counted. A later scheduler hears of the runs in the order in which it lists the endpoints.

Change: a task keeps the numbers of its failed runs, `maxAttempts` at most, in memory and in the progress row, where equal numbers share an entry. Why it works: a run is counted if and only if its number is not among them, whatever came before.

Related paths looked at: ends of unknown, of adopted and of tracked runs, the saved progress, endpoints that return to the list.

Tests: the progress in four tests has the new form (which runs failed, in place of how many and the last); they check the same, one of them now the numbers as well. The new tests failed before: "failed runs under an earlier scheduler count in whichever order they are listed" and "a failed run that an earlier scheduler has saved does not count again".

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -47,6 +47,7 @@
     "listedAgoMs",
     "listedEnds",
   ],
+  attemptFailed: ["task", "run", "endpoint", "isCounted", "attempts"],
   runAdopted: [
     "task",
     "run",
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -1,6 +1,7 @@
 import { adoptRun } from "./adopt_run.ts";
 import type { KnownProgress } from "./known_progress.ts";
 import { recordJobChange } from "./record_job_change.ts";
+import { recordFailedRun } from "./record_failed_run.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -65,10 +66,9 @@
   const ends = state.unmatchedRunEnds.get(task.name)?.ends ?? [];
   for (const { how, run, endId } of ends) {
     recordJobChange(state, task.job, endId);
-    if (how === "done" || run <= task.failedRun) continue;
-    if (!task.job.order.isKept) continue;
-    task.failures += 1;
-    task.failedRun = run;
+    if (how === "failed" && task.job.order.isKept) {
+      recordFailedRun(state, task, { run, endpointId: endId.endpointId });
+    }
   }
   return ends.some(({ how }) => how === "done");
 }
--- a/src/scheduler/apply_unmatched_run_end.ts
+++ b/src/scheduler/apply_unmatched_run_end.ts
@@ -4,7 +4,9 @@
 import { findTask } from "./find_task.ts";
 import { finishTask } from "./finish_task.ts";
 import { canHaveStoredJobs } from "./can_have_stored_jobs.ts";
+import { hasUsedAttempts } from "./has_used_attempts.ts";
 import { isStoredJobRun } from "./is_stored_job_run.ts";
+import { recordFailedRun } from "./record_failed_run.ts";
 import { recordJobChange } from "./record_job_change.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -82,10 +84,9 @@
     finishTask(state, task, nowMs);
     return;
   }
-  if (end.run <= task.failedRun) return;
-  task.failures += 1;
-  task.failedRun = end.run;
-  if (task.failures < task.job.order.maxAttempts) return;
+  const { endpointId } = endId;
+  recordFailedRun(state, task, { run: end.run, endpointId });
+  if (!hasUsedAttempts(task)) return;
   endJob(state, task.job, {
     outcome: { type: "failed", reason: "attemptsUsed" },
     nowMs,
--- a/src/scheduler/end_run.ts
+++ b/src/scheduler/end_run.ts
@@ -2,6 +2,8 @@
 import type { RunEndId } from "./run_end_id.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { finishTask } from "./finish_task.ts";
+import { hasUsedAttempts } from "./has_used_attempts.ts";
+import { recordFailedRun } from "./record_failed_run.ts";
 import { recordFailure } from "./record_failure.ts";
 import { learnRunTime } from "./learn_run_time.ts";
 import { recordJobChange } from "./record_job_change.ts";
@@ -52,10 +54,12 @@
   task: ScheduledTask,
   at: { endpoint: EndpointRecord; nowMs: number },
 ): void {
-  task.failures += 1;
-  task.failedRun = task.run;
+  recordFailedRun(state, task, {
+    run: task.run,
+    endpointId: at.endpoint.row.id,
+  });
   task.failedEndpointIds.push(at.endpoint.row.id);
-  if (task.failures < task.job.order.maxAttempts) {
+  if (!hasUsedAttempts(task)) {
     retryTask(state, task, { reason: "failed", ...at });
     return;
   }
--- a/src/scheduler/record_failure.ts
+++ b/src/scheduler/record_failure.ts
@@ -20,7 +20,7 @@
   endpoint: EndpointRecord,
   run: { task?: ScheduledTask; nowMs: number },
 ): void {
-  if (run.task && run.task.failures > 0) return;
+  if (run.task && run.task.failedRuns.length > 0) return;
   endpoint.consecutiveFailures += 1;
   if (endpoint.consecutiveFailures < FAILURES_BEFORE_BACKOFF) return;
   const doublings = endpoint.consecutiveFailures - FAILURES_BEFORE_BACKOFF;
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -21,10 +21,8 @@
   startedClockMs: number;
   /** When a confirmed stop has taken effect at the latest, in ms; 0 while no stop is confirmed. */
   stoppedByMs: number;
-  /** Number of failed runs. */
-  failures: number;
-  /** Run number of the latest failed run. */
-  failedRun: number;
+  /** Run numbers of the failed runs, in the order in which they were listed. Endpoints list a run end again until it is acknowledged, to a later scheduler as well, and in any order. */
+  failedRuns: number[];
   /** Endpoints where a run failed or a start was not answered, once for each. */
   failedEndpointIds: string[];
   /** Until when the task is held at most, in ms; 0 while it is not held. A held task does not start, as another scheduler's run of the task may be active at an endpoint that has not listed its runs since. */
--- a/src/scheduler/stored_progress.ts
+++ b/src/scheduler/stored_progress.ts
@@ -2,6 +2,6 @@
 export type StoredProgress = {
   /** Whether each task is done, by the task's position in the job. */
   done: boolean[];
-  /** Failed runs: the task's position, the number of failed runs and the run number of the latest one. */
-  failures: { task: number; count: number; run: number }[];
+  /** Failed runs: the task's position in the job and the run number. */
+  failedRuns: { task: number; run: number }[];
 };
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -2,6 +2,7 @@
 import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
 import type { JobOrder } from "./job_order.ts";
+import { hasUsedAttempts } from "./has_used_attempts.ts";
 import { recordJobChange } from "./record_job_change.ts";
 import { recordEvent } from "./record_event.ts";
 import { releaseBlockedTasks } from "./release_blocked_tasks.ts";
@@ -56,11 +57,9 @@
 
 /** Sets the failed runs that an earlier scheduler has saved. */
 function addFailures(job: ScheduledJob, progress: StoredProgress): void {
-  for (const { task: index, count, run } of progress.failures) {
+  for (const { task: index, run } of progress.failedRuns) {
     const task = job.tasks[index];
-    if (!task) continue;
-    task.failures = count;
-    task.failedRun = run;
+    task?.failedRuns.push(run);
   }
 }
 
@@ -74,8 +73,7 @@
     endJob(state, job, { outcome: { type: "completed" }, nowMs });
     return;
   }
-  const { maxAttempts } = job.order;
-  if (!job.tasks.some(({ failures }) => failures >= maxAttempts)) return;
+  if (!job.tasks.some(hasUsedAttempts)) return;
   endJob(state, job, {
     outcome: { type: "failed", reason: "attemptsUsed" },
     nowMs,
--- a/src/stored_jobs/decode_progress.ts
+++ b/src/stored_jobs/decode_progress.ts
@@ -11,6 +11,10 @@
   const taskCount = order.steps.reduce((sum, { count }) => sum + count, 0);
   return {
     done: decodeFlags(row.done, taskCount),
-    failures: row.failures.map(([task, count, run]) => ({ task, count, run })),
+    failedRuns: row.failedRuns.flatMap(([run, flags]) =>
+      decodeFlags(flags, taskCount).flatMap((hasFailed, task) =>
+        hasFailed ? [{ task, run }] : []
+      )
+    ),
   };
 }
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -4,12 +4,16 @@
 
 /** Encodes the progress that a later scheduler needs of a job that has not ended. */
 export function encodeProgress({ tasks }: ScheduledJob): JobProgressRow {
-  const failures: JobProgressRow["failures"] = [];
-  tasks.forEach(({ failures: count, failedRun }, index) => {
-    if (count > 0) failures.push([index, count, failedRun]);
+  const failed = new Map<number, boolean[]>();
+  tasks.forEach(({ failedRuns }, index) => {
+    for (const run of failedRuns) {
+      const flags = failed.get(run) ?? tasks.map(() => false);
+      flags[index] = true;
+      failed.set(run, flags);
+    }
   });
   return {
     done: encodeFlags(tasks.map(({ phase }) => phase === "done")),
-    failures,
+    failedRuns: [...failed].map(([run, flags]) => [run, encodeFlags(flags)]),
   };
 }
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -2,6 +2,10 @@
 export type JobProgressRow = {
   /** Base64 text of one bit a task, in the order of the job's tasks; set when the task is done. */
   done: string;
-  /** Failed runs that count as attempts: position of the task, number of failed runs, number of the latest failed run. */
-  failures: [task: number, count: number, run: number][];
+  /**
+   * Failed runs that count as attempts: a run number and, as in `done`, the
+   * tasks of which the run of that number failed. Tasks that a scheduler starts
+   * equally often have equal run numbers, so there are few entries.
+   */
+  failedRuns: [run: number, tasks: string][];
 };
--- a/test/scheduler/logged_decisions_test.ts
+++ b/test/scheduler/logged_decisions_test.ts
@@ -47,6 +47,7 @@
   startUnanswered: (driver) =>
     driver.reply(driver.starts[0], { type: "unanswered" }),
   taskEnded: (driver) => driver.end(driver.starts[0], "done", 1),
+  attemptFailed: (driver) => driver.end(driver.starts[0], "failed", 1),
   taskRequeued: (driver) => driver.end(driver.starts[0], "failed", 1),
   jobEnded: (driver) => driver.end(driver.starts[0], "done", 1),
   taskMoved: (driver) => stallRun(driver),
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -138,7 +138,7 @@
     driver.addIdleEndpoint("e1");
 
     driver.submitStored({ id: "j", steps: [createStep(2)] }, {
-      progress: { done: [true, false], failures: [] },
+      progress: { done: [true, false], failedRuns: [] },
       mayHaveRun: true,
     });
     driver.advanceTo(20);
@@ -159,13 +159,60 @@
     driver.submitStored({ id: "j", maxAttempts: 3 }, {
       progress: {
         done: [false],
-        failures: [{ task: 0, count: 1, run: 100_002 }],
+        failedRuns: [{ task: 0, run: 100_002 }],
       },
       mayHaveRun: true,
     });
 
     const [task] = driver.state.jobs.get("j")?.tasks ?? [];
-    assert.equal(task.failures, 2);
+    assert.deepEqual(task.failedRuns, [100_002, 100_004]);
+    assert.equal(driver.outcomes.has("j"), false);
+  });
+
+  // A failed run was counted only if its number was above that of the last one
+  // counted, so that a task was started again after its last attempt.
+  test("failed runs under an earlier scheduler count in whichever order they are listed, before and after the job is read", () => {
+    const runs = [100_002, 100_004, 100_006];
+    for (const order of [[0, 1, 2], [1, 0, 2], [2, 1, 0], [1, 2, 0]]) {
+      for (let readAfter = 0; readAfter <= 3; readAfter += 1) {
+        const driver = createSchedulerDriver({ token: 200 });
+        for (const id of ["e0", "e1", "e2"]) driver.addIdleEndpoint(id);
+        order.forEach((index, position) => {
+          if (position === readAfter) submit(driver);
+          const run = runs[index];
+          const end = { task: "j.0.0.0", run, how: "failed" } as const;
+          driver.list(`e${index}`, { ended: [{ ...end, number: 1 }] });
+        });
+        if (readAfter === 3) submit(driver);
+
+        assert.equal(driver.starts.length, 0);
+        assert.deepEqual(driver.outcomes.get("j"), {
+          type: "failed",
+          reason: "attemptsUsed",
+        });
+      }
+    }
+
+    function submit(driver: ReturnType<typeof createSchedulerDriver>): void {
+      driver.submitStored({ id: "j", maxAttempts: 3 }, { mayHaveRun: true });
+    }
+  });
+
+  test("a failed run that an earlier scheduler has saved does not count again when it is listed after a later one", () => {
+    const driver = createSchedulerDriver({ token: 200 });
+    driver.addIdleEndpoint("e1");
+    driver.submitStored({ id: "j", maxAttempts: 3 }, {
+      progress: { done: [false], failedRuns: [{ task: 0, run: 100_002 }] },
+      mayHaveRun: true,
+    });
+
+    const end = { task: "j.0.0.0", how: "failed" } as const;
+    driver.list("e1", {
+      ended: [
+        { ...end, number: 1, run: 100_004 },
+        { ...end, number: 2, run: 100_002 },
+      ],
+    });
     assert.equal(driver.outcomes.has("j"), false);
   });
 
@@ -176,7 +223,7 @@
     driver.submitStored({ id: "j", maxAttempts: 2 }, {
       progress: {
         done: [false],
-        failures: [{ task: 0, count: 2, run: 100_009 }],
+        failedRuns: [{ task: 0, run: 100_006 }, { task: 0, run: 100_009 }],
       },
       mayHaveRun: true,
     });
@@ -275,7 +322,7 @@
     driver.list("e1", {
       running: [{ task: "running.0.0.0", run: 100_002, progress: 0.1 }],
     });
-    const progress = { done: [false], failures: [] };
+    const progress = { done: [false], failedRuns: [] };
     driver.submitStored({ id: "waits" }, { mayHaveRun: true });
     driver.submitStored({ id: "running" }, { mayHaveRun: true });
     driver.submitStored({ id: "begun" }, { mayHaveRun: true, progress });
--- a/test/stored_jobs/saving_test.ts
+++ b/test/stored_jobs/saving_test.ts
@@ -47,7 +47,7 @@
     await waitFor(isSaved);
     assert.deepEqual(table.rows.get(PROGRESS_KEY)?.value, {
       done: "AQ==",
-      failures: [],
+      failedRuns: [],
     });
 
     driver.end(driver.starts[1], "done", 2);
@@ -78,7 +78,7 @@
     await waitFor(isSaved);
     assert.deepEqual(table.rows.get(PROGRESS_KEY)?.value, {
       done: "AQ==",
-      failures: [],
+      failedRuns: [],
     });
   });
 
