Read progress rows that lack the failed runs

Cause: the progress row names the failed runs since the last change; a row that the program's version before wrote has no such field, and reading it would fail, and with it the reading of all stored jobs.

Change: such a row is read, without its failed runs.

--- a/src/stored_jobs/decode_progress.ts
+++ b/src/stored_jobs/decode_progress.ts
@@ -11,7 +11,8 @@
   const taskCount = order.steps.reduce((sum, { count }) => sum + count, 0);
   return {
     done: decodeFlags(row.done, taskCount),
-    failedRuns: row.failedRuns.flatMap(([run, flags]) =>
+    // A row that an earlier version of the program wrote lacks them.
+    failedRuns: (row.failedRuns ?? []).flatMap(([run, flags]) =>
       decodeFlags(flags, taskCount).flatMap((hasFailed, task) =>
         hasFailed ? [{ task, run }] : []
       )
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -7,5 +7,5 @@
    * tasks of which the run of that number failed. Tasks that a scheduler starts
    * equally often have equal run numbers, so there are few entries.
    */
-  failedRuns: [run: number, tasks: string][];
+  failedRuns?: [run: number, tasks: string][];
 };
--- a/test/stored_jobs/progress_test.ts
+++ b/test/stored_jobs/progress_test.ts
@@ -36,6 +36,15 @@
   ]);
 });
 
+test("the progress that an earlier version of the program has stored is read without its failed runs", () => {
+  const job = createJob(2);
+
+  assert.deepEqual(decodeProgress({ done: "AQ==" }, job.order), {
+    done: [true, false],
+    failedRuns: [],
+  });
+});
+
 test("the progress of a job of 1,900 tasks that have all failed eight times fits into a row", () => {
   const job = createJob(1_900);
   job.tasks.forEach(({ failedRuns }, index) => {
