--- /dev/null
+++ b/test/platform/odd_endpoint_rows_test.ts
@@ -0,0 +1,106 @@
+import assert from "node:assert/strict";
+import { after, afterEach, before, describe, test } from "node:test";
+import { decodeEndpointRow } from "../../platform/decode_endpoint_row.ts";
+import { startWorker } from "../../stand_ins/node/start_worker.ts";
+import { createId } from "../fixtures/create_id.ts";
+import { postJob } from "../fixtures/post_job.ts";
+import { startNodes } from "../fixtures/start_nodes.ts";
+import { waitFor } from "../fixtures/wait_for.ts";
+
+type System = Awaited<ReturnType<typeof startNodes>>;
+type Worker = Awaited<ReturnType<typeof startWorker>>;
+
+/** Depth of nested values; their text fits into a row. */
+const DEPTH = 20_000;
+/** Several readings of the list by each process, in ms. */
+const READINGS_MS = 2_000;
+
+/** The JSON text of each field of a sound row. */
+const SOUND_FIELDS = {
+  service: `"layout"`,
+  address: `"127.0.0.1:9"`,
+  zone: `"dc-a"`,
+  state: `"ready"`,
+  freeCapacity: `{"cpu":14000,"memMb":1000,"gpus":0}`,
+  labels: `["a","r1"]`,
+};
+
+/** Formats a row in which one field has another text. */
+function formatRow(field: keyof typeof SOUND_FIELDS, text: string): string {
+  const members = Object.entries({ ...SOUND_FIELDS, [field]: text })
+    .map(([key, value]) => `"${key}":${value}`);
+  return `{${members.join(",")}}`;
+}
+
+function formatNested(open: string, close: string): string {
+  return open.repeat(DEPTH) + "1" + close.repeat(DEPTH);
+}
+
+const NESTED = formatNested("[", "]");
+const ODD_ROWS = {
+  "a value that is nested deeply": [
+    formatRow("labels", NESTED),
+    formatRow("labels", `["a",${NESTED}]`),
+    formatRow("labels", `["a",${formatNested(`{"a":`, "}")}]`),
+    formatRow("labels", `[{"toString":1,"valueOf":1}]`),
+    formatRow("freeCapacity", formatNested(`{"cpu":`, "}")),
+    formatRow("address", NESTED),
+    NESTED,
+  ],
+};
+
+// Another writer may leave an odd row among those of the endpoints. One such
+// row made every reading of the list fail, or counted as an endpoint.
+describe("a row of an endpoint's table from another writer", () => {
+  let system: System;
+  const lateWorkers: Worker[] = [];
+  const oddKeys: string[] = [];
+  afterEach(() => {
+    for (const key of oddKeys.splice(0)) system.store.remove("servers", key);
+  });
+  before(async () => {
+    system = await startNodes({ nodes: 2, workers: 2, runMs: 50 });
+  });
+  after(async () => {
+    for (const worker of lateWorkers) await worker.stop();
+    await system.stop();
+  });
+
+  for (const [kind, texts] of Object.entries(ODD_ROWS)) {
+    test(`${kind} names no endpoint`, () => {
+      for (const text of texts) {
+        const row = { key: "odd", revision: 1, updatedAtMs: 0 };
+        const decoded = decodeEndpointRow({ ...row, value: JSON.parse(text) });
+        assert.equal(decoded, undefined, text.slice(0, 200));
+      }
+    });
+
+    test(`${kind} ends no process and hides no other endpoint`, async () => {
+      const { store, nodes } = system;
+      texts.forEach((text, index) => {
+        oddKeys.push(`odd-${index}`);
+        store.put("servers", `odd-${index}`, text);
+      });
+      const id = `worker-${lateWorkers.length}`;
+      const worker = await startWorker({ id, runMs: 50, cpu: 14_000 });
+      lateWorkers.push(worker);
+      const address = `"${worker.address}"`;
+      store.put("servers", id, formatRow("address", address));
+
+      const { logs } = system.findScheduler();
+      const earlierLogs = logs.length;
+      await waitFor(() =>
+        logs.some(({ event, endpoint }) =>
+          event === "endpointListed" && endpoint === id
+        )
+      );
+      await new Promise((resolve) => setTimeout(resolve, READINGS_MS));
+      for (const { child } of nodes) assert.equal(child.exitCode, null);
+      const unread = logs.slice(earlierLogs)
+        .filter(({ event }) => event === "endpointsNotRead");
+      assert.deepEqual(unread, []);
+      const jobId = createId(lateWorkers.length);
+      assert.equal((await postJob(nodes[0], jobId)).status, 200);
+    });
+  }
+});
