--- a/test/platform/odd_endpoint_rows_test.ts
+++ b/test/platform/odd_endpoint_rows_test.ts
@@ -36,6 +36,11 @@
   return open.repeat(DEPTH) + "1" + close.repeat(DEPTH);
 }
 
+function formatCapacity(fields: object, number: string): string {
+  const text = JSON.stringify({ cpu: 1_000, memMb: 1_000, gpus: 0, ...fields });
+  return formatRow("freeCapacity", text.replace(`"?"`, number));
+}
+
 const NESTED = formatNested("[", "]");
 const ODD_ROWS = {
   "a value that is nested deeply": [
@@ -47,6 +52,14 @@
     formatRow("address", NESTED),
     NESTED,
   ],
+  "a number that is too large": [
+    formatCapacity({ cpu: "?" }, "1e999"),
+    formatCapacity({ memMb: "?" }, "1e999"),
+    formatCapacity({ gpus: "?" }, "1e999"),
+    formatCapacity({ cpu: "?" }, "1e300"),
+    formatCapacity({ cpu: "?" }, "9007199254740993"),
+    formatCapacity({ cpu: "?" }, "-1000"),
+  ],
 };
 
 // Another writer may leave an odd row among those of the endpoints. One such
@@ -103,4 +116,20 @@
       assert.equal((await postJob(nodes[0], jobId)).status, 200);
     });
   }
+
+  test("a job that only a number too large would fit is refused at once", async () => {
+    const text = formatCapacity({ cpu: "?" }, "1e999");
+    oddKeys.push("odd");
+    system.store.put("servers", "odd", text);
+    await new Promise((resolve) => setTimeout(resolve, READINGS_MS));
+    const body = {
+      spec: "{}",
+      bestEffort: true,
+      steps: [{ count: 1, cpu: 99_000, estimateMs: 100 }],
+    };
+
+    const reply = await postJob(system.nodes[0], createId(99), { body });
+    assert.equal(reply.status, 503);
+    assert.deepEqual(reply.body, { error: "neverFits", notRun: true });
+  });
 });
