--- a/test/platform/odd_endpoint_rows_test.ts
+++ b/test/platform/odd_endpoint_rows_test.ts
@@ -60,6 +60,16 @@
     formatCapacity({ cpu: "?" }, "9007199254740993"),
     formatCapacity({ cpu: "?" }, "-1000"),
   ],
+  "a port or an address that is out of range": [
+    formatRow("address", `"127.0.0.1:99999"`),
+    formatRow("address", `"127.0.0.1:65536"`),
+    formatRow("address", `"127.0.0.1:0"`),
+    formatRow("address", `"127.0.0.1:18446744073709551617"`),
+    formatRow("address", `"127.0.0.999:80"`),
+    formatRow("address", `"127.0.1:80"`),
+    formatRow("address", `"127.0.0.0.1:80"`),
+    formatRow("address", `"..:80"`),
+  ],
 };
 
 // Another writer may leave an odd row among those of the endpoints. One such
