Fuzz the scheduler while the store is down

Change: a fault `storeDown`, in whose histories an endpoint lists four run ends at a time and jobs have three times the tasks; outages in which all runs may fail and the scheduler may be replaced. Two histories that broke a guarantee of the code before are tests of their own.

--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -44,6 +44,44 @@
   ).map(([links, others]) => [...links, ...others]);
 }
 
+/** Creates the faults of a history in which the store is down, while all runs may fail and the scheduler may be replaced; endpoints list few run ends at a time. */
+export function createStoreFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const outage = fc.record({
+    atMs: fc.integer({ min: 500, max: 9_000 }),
+    forMs: fc.integer({ min: 300, max: 4_000 }),
+    isFailing: fc.boolean(),
+    loss: fc.option(fc.record({
+      afterMs: fc.integer({ min: 0, max: 4_500 }),
+      kind: fc.constantFrom<Fault["kind"]>("takeover", "powerLoss"),
+    })),
+  }).map(({ atMs, forMs, isFailing, loss }): Fault[] => [
+    { atMs, forMs, endpoint: 0, kind: "storeDown" },
+    ...(isFailing ? [0, 1, 2, 3] : []).map((endpoint) => ({
+      atMs,
+      forMs,
+      endpoint,
+      kind: "runsFail" as const,
+    })),
+    ...(loss
+      ? [{
+        atMs: atMs + loss.afterMs,
+        forMs: 500,
+        endpoint: 0,
+        kind: loss.kind,
+      }]
+      : []),
+  ]);
+  return fc.tuple(
+    fc.array(outage, { minLength: 1, maxLength: 3 }),
+    createArray(KINDS, {
+      minLength: 0,
+      maxLength: 3,
+      maxDurationMs: 5_000,
+      lastIndex: 3,
+    }),
+  ).map(([outages, others]) => [...outages.flat(), ...others]);
+}
+
 /** Creates the faults of a history in which VMs link to an earlier scheduler again while it goes on running. */
 export function createEarlierSchedulerFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const takeover = fc.record({
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -24,6 +24,8 @@
     | "dataCentreCut"
     /** All schedulers and VMs end, and later another scheduler begins. */
     | "powerLoss"
+    /** The store refuses every call: nothing is stored or read, and no other scheduler takes over. Endpoints list few run ends at a time in histories with this fault. */
+    | "storeDown"
     /** A client cancels the newest stored job. */
     | "cancel"
     /** A VM's link to the scheduler is closed; the VM opens no other until the end of the fault. */
--- a/test/scheduler_fuzz/fuzz_endpoint.ts
+++ b/test/scheduler_fuzz/fuzz_endpoint.ts
@@ -30,11 +30,16 @@
   #token = 0;
   #leaseEndMs = 0;
   #processStartedAtMs = 0;
+  #maxListedEnds: number;
 
-  constructor(id: string, options: { oracle: Oracle; clockRate: number }) {
+  constructor(
+    id: string,
+    options: { oracle: Oracle; clockRate: number; maxListedEnds: number },
+  ) {
     this.id = id;
     this.#oracle = options.oracle;
     this.#clockRate = options.clockRate;
+    this.#maxListedEnds = options.maxListedEnds;
   }
 
   /** Returns the endpoint's clock, in ms since its process started. */
@@ -143,7 +148,7 @@
         run,
         progress: 0,
       })),
-      ended: [...this.#ends],
+      ended: this.#ends.slice(0, this.#maxListedEnds),
     };
   }
 
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -42,10 +42,13 @@
 /** The simulated environment of a host. */
 export type FuzzWorld = {
   endpoints: FuzzEndpoint[];
+  /** Most run ends that an endpoint lists at a time. */
+  maxListedEnds: number;
   readNow(): number;
   runAfter(afterMs: number, run: () => void): void;
   findCallDelays(host: FuzzHost, endpoint: FuzzEndpoint): CallDelays;
-  listRows(): EndpointRow[];
+  /** Returns the store's list of endpoints; undefined when it can't be read. */
+  listRows(): EndpointRow[] | undefined;
   /** Whether the host holds the scheduler role, so that its heartbeats reach the store. */
   hasRole(host: FuzzHost): boolean;
   /** Called for each heartbeat that reaches the store. */
@@ -61,7 +64,7 @@
   readonly state: SchedulerState;
   isAlive = true;
   #world: FuzzWorld;
-  #listRows: () => EndpointRow[];
+  #listRows: () => EndpointRow[] | undefined;
   #polledEndpoints = new Set<string>();
 
   constructor(
@@ -73,7 +76,7 @@
     this.#world = world;
     this.#listRows = solo?.listShare ?? world.listRows;
     this.state = createSchedulerState(token, {
-      limits: SCHEDULER_LIMITS,
+      limits: { ...SCHEDULER_LIMITS, maxListedEnds: world.maxListedEnds },
       nowMs: world.readNow(),
       isSolo: solo !== undefined,
       hasKeptJobs: solo?.hasKeptJobs,
@@ -113,7 +116,9 @@
   }
 
   #readRows(): void {
-    updateEndpoints(this.state, this.#listRows(), {
+    const rows = this.#listRows();
+    if (!rows) return;
+    updateEndpoints(this.state, rows, {
       nowMs: this.#world.readNow(),
       isListReliable: true,
     });
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -4,6 +4,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import type { Fault } from "./fault.ts";
 import { runSchedulerHistory } from "./run_scheduler_history.ts";
@@ -21,6 +22,7 @@
   scheduler: createFaultArbitrary(),
   links: createLinkFaultArbitrary(),
   former: createEarlierSchedulerFaultArbitrary(),
+  store: createStoreFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
   if (values.only === undefined || values.only === name) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -26,6 +26,13 @@
 /** Number of endpoints in histories with solo VMs: each VM has two in solo mode. */
 const LINK_ENDPOINT_COUNT = 6;
 const JOB_COUNT = 24;
+/** Most run ends that an endpoint lists at a time, and its part in histories in which the store is down. */
+const MAX_LISTED_ENDS = 500;
+const MAX_LISTED_ENDS_WITHOUT_STORE = 4;
+/** Factor of the number of tasks in histories in which the store is down, so that more runs end than are listed. */
+const STORE_TASK_FACTOR = 3;
+/** Pause before a call that the store refused is repeated. */
+const STORE_RETRY_MS = 100;
 const MAX_ATTEMPTS = 3;
 /** Jobs are submitted until about this time. */
 const ACTIVE_PHASE_MS = 10_000;
@@ -66,6 +73,10 @@
 ): { violations: string[]; ended: Record<string, number> } {
   const random = createRandom(seed);
   const hasLinkFaults = faults.some(({ kind }) => kind.startsWith("link"));
+  const hasOutages = faults.some(({ kind }) => kind === "storeDown");
+  const maxListedEnds = hasOutages
+    ? MAX_LISTED_ENDS_WITHOUT_STORE
+    : MAX_LISTED_ENDS;
   const hasEarlierLinks = faults.some(({ kind }) => kind === "linkToEarlier");
   const events = new BinaryHeap<() => void>();
   const stored = new Map<string, StoredJob>();
@@ -81,6 +92,7 @@
       new FuzzEndpoint(`e${index}`, {
         oracle,
         clockRate: 1 - 0.006 * (index % 4),
+        maxListedEnds,
       }),
   );
   let nowMs = 0;
@@ -104,6 +116,16 @@
     );
   }
 
+  function isStoreDown(): boolean {
+    return [...activeFaults].some(({ kind }) => kind === "storeDown");
+  }
+
+  /** Calls a function as soon as the store takes calls. */
+  function whenStoreIsUp(run: () => void): void {
+    if (isStoreDown()) runAfter(STORE_RETRY_MS, () => whenStoreIsUp(run));
+    else run();
+  }
+
   function findCallDelays(host: FuzzHost, endpoint: FuzzEndpoint): CallDelays {
     const isCut = [...activeFaults].some((fault) =>
       fault.kind === "cut" && endpoints[fault.endpoint] === endpoint &&
@@ -143,12 +165,26 @@
     reclaimEndpoints(host.state, epoch * 100, new Set([DATA_CENTRE]));
   }
 
+  function listEndpointRows() {
+    return endpoints.filter((endpoint) => !isFaulty("unlisted", endpoint))
+      .map(({ id }) => ({
+        id,
+        address: "fuzz",
+        service: "layout",
+        dataCentre: DATA_CENTRE,
+        labels: [],
+        room: { cpu: 16_000, memoryMb: 64_000, gpus: 0 },
+        isDraining: false,
+      }));
+  }
+
   const linkRunFactor = hasEarlierLinks
     ? EARLIER_LINK_RUN_FACTOR
     : LINK_RUN_FACTOR;
   const runFactor = hasLinkFaults ? linkRunFactor : 1;
   const world: FuzzWorld = {
     endpoints,
+    maxListedEnds,
     readNow: () => nowMs,
     runAfter,
     findCallDelays,
@@ -156,17 +192,7 @@
     hasRole: (host) => host === current,
     receiveHeartbeat: raiseEpoch,
     readWorkMs: () => runFactor * (30 + random() * 400),
-    listRows: () =>
-      endpoints.filter((endpoint) => !isFaulty("unlisted", endpoint))
-        .map(({ id }) => ({
-          id,
-          address: "fuzz",
-          service: "layout",
-          dataCentre: DATA_CENTRE,
-          labels: [],
-          room: { cpu: 16_000, memoryMb: 64_000, gpus: 0 },
-          isDraining: false,
-        })),
+    listRows: () => isStoreDown() ? undefined : listEndpointRows(),
   };
 
   const vms = new FuzzVms({
@@ -180,7 +206,7 @@
         dataCentre: DATA_CENTRE,
       }));
       const vm = { name, dataCentre: DATA_CENTRE };
-      const listShare = () => computeEndpointShare(world.listRows(), vm, all);
+      const listShare = () => computeEndpointShare(listEndpointRows(), vm, all);
       return new FuzzHost(world, token, { listShare, hasKeptJobs });
     },
     receiveOutcome: (id, outcome) => {
@@ -194,10 +220,17 @@
     const host = new FuzzHost(world, epoch * 100);
     current = host;
     vms.linkAll(host);
-    runAfter(STORE_CALL_MS + random() * 200, () => readStored(host));
+    runAfter(
+      STORE_CALL_MS + random() * 200,
+      () => whenStoreIsUp(() => readStored(host)),
+    );
     runAfter(SAVE_INTERVAL_MS, () => save(host));
   }
 
+  function beginHostIfNone(): void {
+    if (!current) beginHost();
+  }
+
   function readStored(host: FuzzHost): void {
     if (host !== current) return;
     for (const job of stored.values()) {
@@ -225,6 +258,10 @@
   /** Writes the progress of unsaved jobs; the store accepts writes of the role holder only. */
   function save(host: FuzzHost): void {
     if (!host.isAlive) return;
+    if (isStoreDown()) {
+      runAfter(STORE_RETRY_MS, () => save(host));
+      return;
+    }
     const { state } = host;
     const jobs = state.areStoredJobsRead ? [...state.unsaved] : [];
     for (const job of jobs) state.unsaved.delete(job);
@@ -268,9 +305,7 @@
       host.isAlive = false;
       vms.dropLinks(host);
     });
-    runAfter(TAKEOVER_DELAY_MS, () => {
-      if (!current) beginHost();
-    });
+    runAfter(TAKEOVER_DELAY_MS, () => whenStoreIsUp(beginHostIfNone));
   }
 
   function losePower(host: FuzzHost): void {
@@ -278,14 +313,12 @@
     current = undefined;
     if (earlier) earlier.isAlive = false;
     vms.losePower();
-    runAfter(RESTART_DELAY_MS, () => {
-      if (!current) beginHost();
-    });
+    runAfter(RESTART_DELAY_MS, () => whenStoreIsUp(beginHostIfNone));
   }
 
   function cancelNewest(): void {
     const job = [...stored.values()].filter(({ end }) => !end).at(-1);
-    if (!job) return;
+    if (!job || isStoreDown()) return;
     job.isCancelled = true;
     runAfter(STORE_CALL_MS, () => {
       current?.applyDecision((atMs) =>
@@ -333,9 +366,13 @@
 
   function submit(index: number): void {
     const id = `job${index}`;
+    const factor = hasOutages ? STORE_TASK_FACTOR : 1;
     const steps = index % 3 === 0
-      ? [createStep(2, { estimateMs: 200 }), createStep(1, { after: [0] })]
-      : [createStep(1 + index % 4, { estimateMs: 200 })];
+      ? [
+        createStep(2 * factor, { estimateMs: 200 }),
+        createStep(1, { after: [0] }),
+      ]
+      : [createStep((1 + index % 4) * factor, { estimateMs: 200 })];
     const order = createOrder({
       id,
       steps,
@@ -347,7 +384,11 @@
       return;
     }
     const job = { order: { ...order, isKept: true }, isCancelled: false };
-    stored.set(id, job);
+    whenStoreIsUp(() => storeJob(job));
+  }
+
+  function storeJob(job: StoredJob): void {
+    stored.set(job.order.id, job);
     runAfter(STORE_CALL_MS, () => {
       if (!current) return;
       const mayHaveRun = nowMs - current.state.startedMs < MAY_HAVE_RUN_MS;
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -5,6 +5,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import { runSchedulerHistory } from "./run_scheduler_history.ts";
 
@@ -12,6 +13,7 @@
 const HISTORIES = 40;
 const LINK_HISTORIES = 25;
 const EARLIER_SCHEDULER_HISTORIES = 15;
+const STORE_HISTORIES = 40;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -48,6 +50,42 @@
   );
 });
 
+test("no history in which the store is down while runs end and schedulers are replaced violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createStoreFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: STORE_HISTORIES },
+  );
+});
+
+test("a task whose end is hidden by a full listing while the store is down is not started again", () => {
+  const faults = [
+    { atMs: 2_214, forMs: 506, endpoint: 0, kind: "storeDown" } as const,
+  ];
+
+  assert.deepEqual(runSchedulerHistory(faults, 8).violations, []);
+});
+
+test("a task that has failed as often as allowed, while the store was down and its scheduler was replaced, is not started again", () => {
+  const window = { atMs: 2_071, forMs: 424 };
+  const faults = [
+    { ...window, endpoint: 0, kind: "storeDown" } as const,
+    ...[0, 1, 2, 3].map((endpoint) => ({
+      ...window,
+      endpoint,
+      kind: "runsFail" as const,
+    })),
+    { atMs: 2_315, forMs: 500, endpoint: 0, kind: "takeover" } as const,
+  ];
+
+  assert.deepEqual(runSchedulerHistory(faults, 78_011).violations, []);
+});
+
 test("a job resubmitted to an earlier scheduler and back to the later one runs at only one of them at a time", () => {
   const faults = [
     { atMs: 1_355, forMs: 3_000, endpoint: 2, kind: "dataCentreCut" } as const,
