Keep run ends of stored jobs until these have been read

What callers could see: a task that is done runs again after a takeover in which the stored jobs can't be read for over 10 s.

Cause: run ends of unknown jobs are forgotten after 10 s, and those of stored jobs are acknowledged once the stored jobs have been read, without a look at whether they were forgotten in between.

Change: run ends with the number of a stored job's run are kept until the stored jobs have been read. Why it works: the read applies those that it finds, and only after it they are acknowledged. Their number is bounded by what the endpoints list.

Result: the new test failed before (a start after the read) and passes, with all tests of scheduler/ and scheduler_fuzz/.

--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -6,6 +6,7 @@
 import { computeMinClock } from "./compute_min_clock.ts";
 import { expireLeases } from "./expire_leases.ts";
 import { hasHiddenEnds } from "./has_hidden_ends.ts";
+import { isStoredJobRun } from "./is_stored_job_run.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
@@ -133,6 +134,16 @@
     orphanedMs + computeGracePeriod(state, { how: orphanCause, nowMs });
 }
 
+function evictUnmatchedRunEnds(state: SchedulerState, nowMs: number): void {
+  for (const [task, { ends, receivedMs }] of state.unmatchedRunEnds) {
+    if (nowMs - receivedMs <= ENDED_JOB_RETENTION_MS) continue;
+    // Their job may be among the stored jobs, which have not been read yet.
+    const isNeeded = !state.areStoredJobsRead &&
+      ends.some(({ run }) => isStoredJobRun(run));
+    if (!isNeeded) state.unmatchedRunEnds.delete(task);
+  }
+}
+
 /** Ends orphaned jobs after their grace period, and evicts ended jobs, passed jobs and unmatched run ends after the retention period. */
 function endAndEvictJobs(state: SchedulerState, nowMs: number): void {
   for (const job of state.jobs.values()) {
@@ -149,11 +160,7 @@
       });
     }
   }
-  for (const [task, { receivedMs }] of state.unmatchedRunEnds) {
-    if (nowMs - receivedMs > ENDED_JOB_RETENTION_MS) {
-      state.unmatchedRunEnds.delete(task);
-    }
-  }
+  evictUnmatchedRunEnds(state, nowMs);
   for (const [id, { passedMs }] of state.passedJobs) {
     // The map is in the order in which jobs were passed, so all further ones are newer.
     if (nowMs - passedMs <= ENDED_JOB_RETENTION_MS) break;
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -54,6 +54,28 @@
     assert.equal(driver.readAcknowledged("e1"), 1);
   });
 
+  // Run ends that were listed before their job was read were forgotten after
+  // 10 s, and acknowledged as soon as the stored jobs had been read.
+  test("a run end counts however long the stored jobs can't be read after it was listed", () => {
+    const driver = createSchedulerDriver({
+      token: 200,
+      areStoredJobsRead: false,
+    });
+    driver.addEndpoint("e1");
+    driver.list("e1", {
+      ended: [{ number: 1, task: "j.0.0.0", run: 100_002, how: "done" }],
+    });
+    for (let atMs = 1_000; atMs <= 20_000; atMs += 1_000) {
+      driver.advanceTo(atMs);
+    }
+
+    driver.submitStored({ id: "j" }, { mayHaveRun: true });
+    driver.state.areStoredJobsRead = true;
+    driver.advanceTo(24_000);
+    assert.equal(driver.starts.length, 0);
+    assert.deepEqual(driver.outcomes.get("j"), { type: "completed" });
+  });
+
   test("run ends of best-effort jobs are acknowledged at once, even after a takeover", () => {
     const driver = createSchedulerDriver({
       token: 200,
