Answer every request that was read before a planned stop

Cause: the VM abandoned its open jobs, waited 0.1 s for their answers to leave, and exited; in that time it went on submitting what it read, and it waited for nothing else. A VM that was idle exited with whatever it read while it closed.

Related paths looked at: the product's own entry (refuses first and waits for its server), SIGHUP and configurations (close no caller's connection), GET and DELETE that wait for the store (waited for, 0.4 s).

The fixture of caller_app_test.ts has the new method of a VM.

--- a/src/stored_jobs/create_job_writer.ts
+++ b/src/stored_jobs/create_job_writer.ts
@@ -37,9 +37,11 @@
   store(order: JobOrder): Promise<StoreOutcome>;
   /** Counts the jobs whose write has not finished. */
   count(): number;
+  /** Resolves all jobs whose write has not finished, and stores none that was not sent. */
+  abandonAll(): void;
 } {
   let pending: PendingJob[] = [];
-  let sendingCount = 0;
+  let sending: PendingJob[] = [];
   let isWriting = false;
 
   function takeBatch(): PendingJob[] {
@@ -59,10 +61,9 @@
     if (isWriting) return;
     isWriting = true;
     while (pending.length > 0) {
-      const batch = takeBatch();
-      sendingCount = batch.length;
-      await writeBatch(batch);
-      sendingCount = 0;
+      sending = takeBatch();
+      await writeBatch(sending);
+      sending = [];
     }
     isWriting = false;
   }
@@ -133,7 +134,14 @@
   }
 
   return {
-    count: () => pending.length + sendingCount,
+    count: () => pending.length + sending.length,
+    abandonAll: () => {
+      for (const { resolve } of sending) resolve("unknown");
+      for (const { mayBeStored, resolve } of pending) {
+        resolve(mayBeStored ? "unknown" : "notStored");
+      }
+      pending = [];
+    },
     store: (order) =>
       new Promise((resolve) => {
         const row = { order, acceptedAtMs: Date.now() };
--- a/src/vm/running_vm.ts
+++ b/src/vm/running_vm.ts
@@ -23,13 +23,15 @@
   isReady(): boolean;
   /** Whether a planned stop is in progress. */
   isDraining(): boolean;
+  /** Whether the process is about to end, so that nothing new may be begun. */
+  isStopping(): boolean;
   /** Whether no caller waits and no job is being stored. */
   isIdle(): boolean;
   /** Number of jobs whose callers wait here. */
   countOpenJobs(): number;
   /** Gauges of this VM, and of the scheduler while it runs here. */
   readGauges(): Record<string, number>;
-  /** Stops as planned: resigns the scheduler role, if this VM has it, and resolves when all callers have been answered, or after `stopWithinMs`. */
+  /** Stops as planned: resigns the scheduler role, if this VM has it, and resolves when no caller waits any more: all of them are answered, after `stopWithinMs` without their outcome. From then on `isStopping`. */
   drain(): Promise<void>;
   /** Stops at once. */
   stop(): Promise<void>;
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -37,8 +37,6 @@
 
 /** Interval at which a draining VM checks whether all callers have been answered, in ms. */
 const DRAIN_POLL_INTERVAL_MS = 20;
-/** Time for the last answers to be sent, in ms. */
-const ANSWER_FLUSH_MS = 100;
 /** A VM without a scheduler for this long is not ready for new connections, in ms: the time that a takeover may take. */
 const UNREADY_AFTER_MS = 1_500;
 
@@ -67,6 +65,7 @@
   let guestLinks: ReturnType<typeof createGuestLinks> | undefined;
   let isStopped = false;
   let isDraining = false;
+  let isStopping = false;
   let linkedMs = readMonotonicMs();
 
   const readReport = (): VmReport => ({
@@ -204,9 +203,10 @@
       await waitMs(DRAIN_POLL_INTERVAL_MS);
     }
     log("drained", { jobs: jobs.count() });
-    if (jobs.isEmpty()) return;
+    // Nothing may be begun between the last look at the open jobs and the exit.
+    isStopping = true;
     jobs.abandonAll();
-    await waitMs(ANSWER_FLUSH_MS);
+    jobWriter.abandonAll();
   }
 
   return {
@@ -220,6 +220,7 @@
     readBacklogMs: storedJobsView.readBacklogMs,
     isReady,
     isDraining: () => isDraining,
+    isStopping: () => isStopping,
     isIdle,
     countOpenJobs: jobs.count,
     readGauges: () => ({
--- a/test/platform/caller_app_test.ts
+++ b/test/platform/caller_app_test.ts
@@ -22,6 +22,7 @@
   const openJobs: string[] = [];
   const vm: Partial<RunningVm> = {
     isDraining: () => false,
+    isStopping: () => false,
     submit: ({ id }, answer) => {
       openJobs.push(id);
       const abandon = () => {
--- a/test/platform/node_test.ts
+++ b/test/platform/node_test.ts
@@ -303,6 +303,49 @@
     );
   });
 
+  // The last requests before the exit were started, and their connections ended
+  // without an answer: those read while the open jobs were being abandoned, and
+  // those whose jobs were being stored.
+  test("a VM that is stopped answers every request that it has read", async () => {
+    await runOnNodes({ nodes: 2, workers: 6, runMs: 300 }, async (system) => {
+      const scheduler = system.findScheduler();
+      const other = system.nodes.find((node) => node !== scheduler);
+      assert.ok(other);
+      const ids: string[] = [];
+      const lost: string[] = [];
+      let isOver = false;
+      other.exited.then(() => isOver = true);
+      const send = async (index: number) => {
+        const id = createId(index);
+        ids.push(id);
+        try {
+          await postJob(other, id, {
+            waitMs: 1_500,
+            body: {
+              spec: "{}",
+              bestEffort: index % 4 !== 0,
+              steps: [{ count: 1, cpu: 2_000, memMb: 8, estimateMs: 300 }],
+            },
+          });
+        } catch {
+          lost.push(id);
+        }
+      };
+      const sent: Promise<void>[] = [];
+      for (let index = 0; !isOver; index += 1) {
+        if (index === 20) other.child.kill("SIGTERM");
+        sent.push(send(index));
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+      await Promise.all(sent);
+
+      const read = other.logs.filter(({ event }) => event === "received")
+        .map(({ job }) => job);
+      assert.ok(read.length > 100, `${read.length} requests`);
+      assert.deepEqual(lost.filter((id) => read.includes(id)), []);
+    });
+  });
+
   test("a scheduler that is stopped resigns, completes its open jobs and exits by itself", async () => {
     await runOnNodes({ nodes: 2, workers: 2, runMs: 300 }, async (system) => {
       const scheduler = system.findScheduler();
--- a/test/stored_jobs/job_writer_test.ts
+++ b/test/stored_jobs/job_writer_test.ts
@@ -92,6 +92,27 @@
     assert.equal(outcome, "unknown");
   });
 
+  // A process that ended left the callers of these jobs without an answer.
+  test("a stop answers the callers of the jobs that are being stored, and stores none whose write was not sent", async () => {
+    const table = createMemoryTable();
+    const { transact } = table;
+    let release = () => {};
+    table.transact = async (operations) => {
+      await new Promise<void>((resolve) => release = resolve);
+      return transact(operations);
+    };
+    const writer = createJobWriter(table, readMaxRowBytes);
+    const outcomes = ["a", "b"].map((id) => writer.store(createOrder({ id })));
+
+    writer.abandonAll();
+    assert.deepEqual(await Promise.all(outcomes), ["unknown", "notStored"]);
+
+    release();
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.ok(table.rows.has("chivegrade-jobs/a"));
+    assert.equal(table.rows.has("chivegrade-jobs/b"), false);
+  });
+
   test("a job that exceeds the row limit is refused, and other jobs are stored", async () => {
     const table = createMemoryTable();
     const writer = createJobWriter(table, () => 2_000);
