--- a/src/stored_jobs/create_job_writer.ts
+++ b/src/stored_jobs/create_job_writer.ts
@@ -99,11 +99,11 @@
     for (const { resolve } of stored) resolve("known");
     const known = new Set([...ended, ...stored]);
     pending.unshift(...batch.filter((job) => !known.has(job)));
-    for (const job of ended) await resolveEndedJob(job);
+    for (const job of ended) await answerEndedJob(job);
   }
 
-  /** Resolves a job that has an end record, which a job that was cancelled before it was stored has as well. */
-  async function resolveEndedJob(job: PendingJob): Promise<void> {
+  /** Answers for a job that has an end record, which a job that was cancelled before it was stored has as well. */
+  async function answerEndedJob(job: PendingJob): Promise<void> {
     try {
       const key = STORED_JOB_KEYS.formatEnd(job.id);
       const record = await findStoredRow(table, key);
