--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -134,10 +134,10 @@
     orphanedMs + computeGracePeriod(state, { how: orphanCause, nowMs });
 }
 
+/** Evicts unmatched run ends after the retention period, but not those that may belong to a stored job before the stored jobs have been read. */
 function evictUnmatchedRunEnds(state: SchedulerState, nowMs: number): void {
   for (const [task, { ends, receivedMs }] of state.unmatchedRunEnds) {
     if (nowMs - receivedMs <= ENDED_JOB_RETENTION_MS) continue;
-    // Their job may be among the stored jobs, which have not been read yet.
     const isNeeded = !state.areStoredJobsRead &&
       ends.some(({ run }) => isStoredJobRun(run));
     if (!isNeeded) state.unmatchedRunEnds.delete(task);
--- a/src/stored_jobs/cancel_stored_job.ts
+++ b/src/stored_jobs/cancel_stored_job.ts
@@ -2,7 +2,7 @@
 import type { Table } from "../store/table.ts";
 import type { TableOperation } from "../store/table_operation.ts";
 import type { EndRecord } from "./end_record.ts";
-import { findStoredRow } from "./find_stored_row.ts";
+import { readStoredRow } from "./read_stored_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
 /** Maximum number of attempts. The first may conflict as the job is stored at the same time, the second as it ends; the third finds the end record. */
@@ -19,9 +19,9 @@
 ): Promise<boolean> {
   const key = STORED_JOB_KEYS.formatJob(id);
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-    const row = await findStoredRow(table, key);
+    const row = await readStoredRow(table, key);
     if (!row) {
-      const end = await findStoredRow(table, STORED_JOB_KEYS.formatEnd(id));
+      const end = await readStoredRow(table, STORED_JOB_KEYS.formatEnd(id));
       if (end) return (end.value as EndRecord).state !== "withdrawn";
     }
     const operations = row
@@ -36,6 +36,7 @@
   });
 }
 
+/** Creates the operations that ask the scheduler to end a stored job. */
 function createCancelRequest(id: string, revision: number): TableOperation[] {
   return [
     // The scheduler deletes the cancel request together with the job's row,
@@ -45,7 +46,7 @@
   ];
 }
 
-/** A job is stored on condition that it has no end record. */
+/** Creates the operations that keep a job from being stored: that requires that it has no end record. */
 function createWithdrawal(id: string): TableOperation[] {
   const value: EndRecord = { state: "withdrawn", endedAtMs: Date.now() };
   return [
--- a/src/stored_jobs/create_job_writer.ts
+++ b/src/stored_jobs/create_job_writer.ts
@@ -5,7 +5,7 @@
 import { waitMs } from "../utils/wait_ms.ts";
 import { classifyStoreError } from "./classify_store_error.ts";
 import type { EndRecord } from "./end_record.ts";
-import { findStoredRow } from "./find_stored_row.ts";
+import { readStoredRow } from "./read_stored_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 import type { StoredJobRow } from "./stored_job_row.ts";
 import type { StoreOutcome } from "./store_outcome.ts";
@@ -106,7 +106,7 @@
   async function answerEndedJob(job: PendingJob): Promise<void> {
     try {
       const key = STORED_JOB_KEYS.formatEnd(job.id);
-      const record = await findStoredRow(table, key);
+      const record = await readStoredRow(table, key);
       if (!record) {
         // It has expired since, so the job can be stored again.
         pending.push(job);
--- a/src/stored_jobs/read_stored_job_state.ts
+++ b/src/stored_jobs/read_stored_job_state.ts
@@ -1,7 +1,7 @@
 import type { Table } from "../store/table.ts";
 import type { EndRecord } from "./end_record.ts";
 import type { StoredJobState } from "./stored_job_state.ts";
-import { findStoredRow } from "./find_stored_row.ts";
+import { readStoredRow } from "./read_stored_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
 /** Reads the state of a stored job; undefined when no job of that id is stored. Rejects when the store does not answer. */
@@ -18,7 +18,7 @@
   }
   // Must be read after the job's row: one transaction deletes that row and
   // writes the end record, so that the other order could miss both.
-  const row = await findStoredRow(table, STORED_JOB_KEYS.formatEnd(id));
+  const row = await readStoredRow(table, STORED_JOB_KEYS.formatEnd(id));
   const state = (row?.value as EndRecord | undefined)?.state;
   return state === "withdrawn" ? undefined : state;
 }
--- a/src/stored_jobs/find_stored_row.ts
+++ b/src/stored_jobs/read_stored_row.ts
@@ -2,7 +2,7 @@
 import type { TableRow } from "../store/table_row.ts";
 
 /** Reads the row of a key from the store; undefined when there is none. Rejects when the store does not answer. */
-export async function findStoredRow(
+export async function readStoredRow(
   table: Table,
   key: string,
 ): Promise<TableRow | undefined> {
