Look at an endpoint's room for run ends after its free capacity

Cause: whether an endpoint can list a further run end is asked for each endpoint and task that is placed, while most endpoints of a busy service have no free capacity.

Change: the check comes after those of the capacity; the result is the same.

--- a/src/scheduler/choose_endpoint.ts
+++ b/src/scheduler/choose_endpoint.ts
@@ -49,12 +49,12 @@
   }
   if (row.service !== task.job.order.service) return false;
   if (endpoint.backoffUntilMs > nowMs) return false;
-  if (!canListFurtherEnd(state, endpoint)) return false;
   if (endpoint.consecutiveFailures > 0 && endpoint.runs.size > 0) return false;
   const resources = readTaskResources(task);
   if (used.cpu + resources.cpu > row.room.cpu) return false;
   if (used.memoryMb + resources.memoryMb > row.room.memoryMb) return false;
   if (used.gpus + resources.gpus > row.room.gpus) return false;
+  if (!canListFurtherEnd(state, endpoint)) return false;
   return hasAllowedPlacement(endpoint, task);
 }
 
