--- a/test/scheduler/full_listings_test.ts
+++ b/test/scheduler/full_listings_test.ts
@@ -20,15 +20,21 @@
   }));
 }
 
+/** Starts the only task of the stored job `j` at the endpoint `e1`. */
+function startStoredJob() {
+  const driver = createSchedulerDriver();
+  driver.addIdleEndpoint("e1");
+  driver.advanceTo(20);
+  driver.submitStored({ id: "j" });
+  const [start] = driver.starts;
+  return { driver, start };
+}
+
 // An endpoint lists a limited number of run ends at a time. Runs whose end did
 // not fit into the list were taken as lost, and their tasks ran again.
 describe("listings that have as many run ends as an endpoint lists at a time", () => {
   test("a run that is missing from a full listing is not started again before its end is listed", () => {
-    const driver = createSchedulerDriver();
-    driver.addIdleEndpoint("e1");
-    driver.advanceTo(20);
-    driver.submitStored({ id: "j" });
-    const [start] = driver.starts;
+    const { driver, start } = startStoredJob();
     driver.reply(start, { type: "accepted" });
     driver.advanceTo(100);
 
@@ -42,11 +48,8 @@
   });
 
   test("a run that is missing from a listing with room for its end is started again", () => {
-    const driver = createSchedulerDriver();
-    driver.addIdleEndpoint("e1");
-    driver.advanceTo(20);
-    driver.submitStored({ id: "j" });
-    driver.reply(driver.starts[0], { type: "accepted" });
+    const { driver, start } = startStoredJob();
+    driver.reply(start, { type: "accepted" });
     driver.advanceTo(100);
 
     driver.list("e1");
@@ -54,11 +57,7 @@
   });
 
   test("a stopped run is not started again while a full listing may hide that it was done", () => {
-    const driver = createSchedulerDriver();
-    driver.addIdleEndpoint("e1");
-    driver.advanceTo(20);
-    driver.submitStored({ id: "j" });
-    const [start] = driver.starts;
+    const { driver, start } = startStoredJob();
     driver.reply(start, { type: "unanswered" });
     driver.confirmStop(start);
     driver.advanceTo(200);
@@ -106,11 +105,7 @@
   });
 
   test("a run of a reclaimed endpoint is not started again while a full listing may hide its end", () => {
-    const driver = createSchedulerDriver();
-    driver.addIdleEndpoint("e1");
-    driver.advanceTo(20);
-    driver.submitStored({ id: "j" });
-    const [start] = driver.starts;
+    const { driver, start } = startStoredJob();
     driver.reply(start, { type: "accepted" });
     setEndpointTakenOver(driver.state, "e1");
     driver.advanceTo(100);
