Log which runs were lost with their endpoints, and whether these crashed

Change: endpointSilent says how the endpoint went away (timed out, connections broken and refused, another endpoint at its address). runLost names each run that was there, its age and the number of others; lossSettled says what the endpoint turned out to have done once it answers again. A task keeps its lost runs; nothing is decided by them yet.

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -78,13 +78,16 @@
   jobsNotSaved: ["jobs", "message"],
   endedJobsForgotten: ["jobs"],
   endedJobsNotForgotten: ["message"],
+  // Runs that were lost with their endpoints
+  runLost: ["task", "run", "endpoint", "how", "ageMs", "others", "losses"],
+  lossSettled: ["task", "endpoint", "hasCrashed", "losses"],
   // Endpoints, as the scheduler sees them
   endpointAdded: ["endpoint", "address", "dataCentre", "cpu"],
   endpointListed: ["endpoint", "wasPhase", "running"],
   endpointListFull: ["endpoint", "running", "listedEnds"],
   endpointDraining: ["endpoint"],
   endpointGone: ["endpoint"],
-  endpointSilent: ["endpoint", "silentMs", "runs"],
+  endpointSilent: ["endpoint", "silentMs", "runs", "how"],
   endpointLapsed: ["endpoint", "runs", "silentMs"],
   endpointReborn: ["endpoint"],
   endpointRested: ["endpoint", "strikes", "restMs", "isOver"],
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -160,6 +160,9 @@
       });
     }
   }
+  for (const task of state.suspects) {
+    if (task.job.outcome || task.phase === "done") state.suspects.delete(task);
+  }
   evictUnmatchedRunEnds(state, nowMs);
   for (const [id, { passedMs }] of state.passedJobs) {
     // The map is in the order in which jobs were passed, so all further ones are newer.
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -9,10 +9,12 @@
 import { recordForeignLease } from "./record_foreign_lease.ts";
 import { recordForeignRun } from "./record_foreign_run.ts";
 import { recordProgress } from "./record_progress.ts";
+import { recordLostRuns } from "./record_lost_runs.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
+import { reviewLostRuns } from "./review_lost_runs.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -30,6 +32,11 @@
     endpoint.processStartMs !== listing.processStartMs
   ) {
     recordEvent(state, "endpointReborn", { endpoint: endpointId });
+    recordLostRuns(state, endpoint, {
+      cause: "restarted",
+      nowMs,
+      sentBeforeMs: listing.sentMs,
+    });
     // A start request that was in flight may have been carried out by the new process, so only runs confirmed before are dropped.
     dropRuns(state, endpoint, {
       reason: "endpointReborn",
@@ -42,7 +49,10 @@
     endpoint.unacknowledgedEnds.clear();
     endpoint.leaseExpiryClockMs = 0;
   }
+  const isBack = endpoint.phase !== "usable" ||
+    endpoint.processStartMs !== listing.processStartMs;
   endpoint.processStartMs = listing.processStartMs;
+  if (isBack) reviewLostRuns(state, endpoint);
   endpoint.listingRequestedMs = listing.sentMs;
   recordEndCount(state, endpoint, listing);
   recordClock(endpoint, { clockMs: listing.clockMs, nowMs });
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -73,6 +73,7 @@
     startedClockMs: 0,
     stoppedByMs: 0,
     failedRuns: [],
+    lostRuns: [],
     failedEndpointIds: [],
     heldUntilMs: 0,
     listingsValidFromMs: 0,
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -29,6 +29,7 @@
     startedMs: options.nowMs,
     jobs: new Map(),
     waiting: new Set(),
+    suspects: new Set(),
     endpoints: new Map(),
     unmatchedRunEnds: new Map(),
     roleExclusiveUntilMs: Infinity,
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -8,6 +8,8 @@
   token: number;
   /** `unlisted`: has not listed its runs yet; `silent`: does not answer; `taken`: obeys a later scheduler. */
   phase: "unlisted" | "usable" | "silent" | "taken";
+  /** Whether the endpoint was draining when the store's list had it last, so that the end of its process is planned. */
+  hasAnnouncedEnd: boolean;
   /** Start of the endpoint's process, in Unix ms; a different value shows that the process was restarted. 0 before the first listing. */
   processStartMs: number;
   /** Resources reserved by runs, whether or not their start is confirmed. */
--- /dev/null
+++ b/src/scheduler/record_lost_runs.ts
@@ -0,0 +1,66 @@
+import type { EndpointRecord } from "./endpoint_record.ts";
+import { recordEvent } from "./record_event.ts";
+import { recordJobChange } from "./record_job_change.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+import type { SilenceCause } from "./silence_cause.ts";
+
+/**
+ * Records the loss of every run at an endpoint that became unresponsive or was
+ * restarted, once for each process of the endpoint. The runs of an endpoint
+ * that has announced its end are not recorded, as none of them caused it.
+ */
+export function recordLostRuns(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+  lost: {
+    cause: SilenceCause | "restarted";
+    nowMs: number;
+    /** Leaves out runs whose start was sent after this, in ms. Default: none. */
+    sentBeforeMs?: number;
+  },
+): void {
+  if (endpoint.hasAnnouncedEnd) return;
+  const { cause, nowMs, sentBeforeMs = Infinity } = lost;
+  const hasCrashed = cause !== "timedOut";
+  for (const task of endpoint.runs.values()) {
+    if (task.job.outcome || task.startSentMs >= sentBeforeMs) continue;
+    if (!addLostRun(task, endpoint, { hasCrashed, nowMs })) continue;
+    state.suspects.add(task);
+    recordJobChange(state, task.job);
+    recordEvent(state, "runLost", {
+      task: task.name,
+      run: task.run,
+      endpoint: endpoint.row.id,
+      how: cause,
+      ageMs: Math.round(nowMs - task.startSentMs),
+      others: endpoint.runs.size - 1,
+      losses: task.lostRuns.length,
+    });
+  }
+}
+
+/** Adds a lost run to its task, or adds to one that is known that the endpoint has crashed; returns whether anything changed. */
+function addLostRun(
+  task: ScheduledTask,
+  { row, processStartMs }: EndpointRecord,
+  lost: { hasCrashed: boolean; nowMs: number },
+): boolean {
+  const { hasCrashed, nowMs } = lost;
+  const known = task.lostRuns.find((one) =>
+    one.endpointId === row.id && one.processStartMs === processStartMs
+  );
+  if (known) {
+    if (known.hasCrashed || !hasCrashed) return false;
+    known.hasCrashed = true;
+    return true;
+  }
+  task.lostRuns.push({
+    endpointId: row.id,
+    processStartMs,
+    hasCrashed,
+    lostMs: nowMs,
+    ageMs: nowMs - task.startSentMs,
+  });
+  return true;
+}
--- /dev/null
+++ b/src/scheduler/review_lost_runs.ts
@@ -0,0 +1,45 @@
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { LostRun } from "./lost_run.ts";
+import { recordEvent } from "./record_event.ts";
+import { recordJobChange } from "./record_job_change.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/**
+ * Reviews the runs that were lost at an endpoint which answers again: none of
+ * them crashed it if the process is the same, and the endpoint has crashed if
+ * the process is another one.
+ */
+export function reviewLostRuns(
+  state: SchedulerState,
+  endpoint: EndpointRecord,
+): void {
+  for (const task of state.suspects) {
+    for (const lost of [...task.lostRuns]) {
+      if (lost.endpointId !== endpoint.row.id || lost.processStartMs === 0) {
+        continue;
+      }
+      reviewLostRun(state, task, { lost, endpoint });
+    }
+    if (task.lostRuns.length === 0) state.suspects.delete(task);
+  }
+}
+
+function reviewLostRun(
+  state: SchedulerState,
+  task: ScheduledTask,
+  at: { lost: LostRun; endpoint: EndpointRecord },
+): void {
+  const { lost, endpoint } = at;
+  const hasCrashed = lost.processStartMs !== endpoint.processStartMs;
+  if (hasCrashed && lost.hasCrashed) return;
+  if (hasCrashed) lost.hasCrashed = true;
+  else task.lostRuns.splice(task.lostRuns.indexOf(lost), 1);
+  recordJobChange(state, task.job);
+  recordEvent(state, "lossSettled", {
+    task: task.name,
+    endpoint: endpoint.row.id,
+    hasCrashed,
+    losses: task.lostRuns.length,
+  });
+}
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -1,3 +1,4 @@
+import type { LostRun } from "./lost_run.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { TaskPhase } from "./task_phase.ts";
 
@@ -23,6 +24,8 @@
   stoppedByMs: number;
   /** Run numbers of the failed runs, in the order in which they were listed. Endpoints list a run end again until it is acknowledged, to a later scheduler as well, and in any order. */
   failedRuns: number[];
+  /** Runs that were lost with their endpoints and may have crashed these. */
+  lostRuns: LostRun[];
   /** Endpoints where a run failed or a start was not answered, once for each. */
   failedEndpointIds: string[];
   /** Until when the task is held at most, in ms; 0 while it is not held. A held task does not start, as another scheduler's run of the task may be active at an endpoint that has not listed its runs since. */
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -3,6 +3,7 @@
 import type { GroupCapacity } from "../decide/group_capacity.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerLimits } from "./scheduler_limits.ts";
 
 /** The complete state of the scheduler. */
@@ -22,6 +23,8 @@
   jobs: Map<string, ScheduledJob>;
   /** Jobs with at least one waiting task. */
   waiting: Set<ScheduledJob>;
+  /** Tasks with lost runs, which may have crashed the endpoints of these, in the order of their first losses. */
+  suspects: Set<ScheduledTask>;
   /** Endpoints of the store's list and others whose runs have not ended yet, by id. */
   endpoints: Map<string, EndpointRecord>;
   /** Run ends that did not belong to the latest run of a known task, by task name. */
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -55,6 +55,7 @@
     recordEvent(state, "endpointDraining", { endpoint: row.id });
   }
   known.row = row;
+  known.hasAnnouncedEnd = row.isDraining;
 }
 
 function createRecord(
@@ -65,6 +66,7 @@
     row,
     token: state.token,
     phase: "unlisted",
+    hasAnnouncedEnd: row.isDraining,
     processStartMs: 0,
     used: { cpu: 0, memoryMb: 0, gpus: 0 },
     runs: new Map(),
--- a/src/vm/endpoint_client.ts
+++ b/src/vm/endpoint_client.ts
@@ -19,7 +19,7 @@
     token: number;
     timeoutMs: number;
   }): Promise<boolean>;
-  /** Extends the lease and reads the listing of runs; a long poll of up to `waitMs`, which a run end completes early. Rejects when no answer arrives within `timeoutMs`. */
+  /** Extends the lease and reads the listing of runs; a long poll of up to `waitMs`, which a run end completes early. `broken`: the connection broke, was refused, or no answer arrived within `timeoutMs`. Rejects when the answer is not a listing. */
   list(order: {
     token: number;
     /** Run ends up to this number are acknowledged; 0 acknowledges none. */
@@ -28,7 +28,7 @@
     leaseEndMs?: number;
     waitMs: number;
     timeoutMs: number;
-  }): Promise<EndpointListing | "superseded" | "otherInstance">;
+  }): Promise<EndpointListing | "superseded" | "otherInstance" | "broken">;
   /** Closes the connection. */
   close(): void;
 };
--- a/src/vm/poll_endpoint.ts
+++ b/src/vm/poll_endpoint.ts
@@ -4,6 +4,7 @@
 import type { EndpointListing } from "../scheduler/endpoint_listing.ts";
 import type { EndpointRecord } from "../scheduler/endpoint_record.ts";
 import { setEndpointUnresponsive } from "../scheduler/set_endpoint_unresponsive.ts";
+import type { SilenceCause } from "../scheduler/silence_cause.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
@@ -55,6 +56,7 @@
     const lastEnd = failures > 0
       ? 0
       : computeAcknowledgedEnd(state, endpoint, sentMs);
+    let cause: SilenceCause = "timedOut";
     try {
       const listing = await session.client.list({
         token: endpoint.token,
@@ -72,7 +74,10 @@
         await waitMs(TAKEN_RETRY_DELAY_MS);
         continue;
       }
-      if (listing === "otherInstance") throw new Error("another instance");
+      if (listing === "broken" || listing === "otherInstance") {
+        cause = listing === "broken" ? "broken" : "replaced";
+        throw new Error(listing);
+      }
       failures = 0;
       // A listing that was held back may show a run of a later scheduler that the endpoint has obeyed since the request.
       // A second poll, which the endpoint answers without waiting, shows whether it still accepts this fencing token.
@@ -99,7 +104,11 @@
       const isLostAnswer = isTimedOut &&
         nowMs - endpoint.lastReplyMs < UNRESPONSIVE_AFTER_MS;
       if (failures === 1 || isLostAnswer) continue;
-      applyDecision((at) => setEndpointUnresponsive(state, id, at));
+      if (isTimedOut) cause = "timedOut";
+      const silence = cause;
+      applyDecision((at) =>
+        setEndpointUnresponsive(state, id, { cause: silence, nowMs: at })
+      );
       await waitMs(SILENT_RETRY_DELAY_MS);
     }
   }
--- a/test/scheduler/logged_decisions_test.ts
+++ b/test/scheduler/logged_decisions_test.ts
@@ -73,6 +73,11 @@
     driver.addIdleEndpoint("e2");
     driver.dropRow("e2");
   },
+  runLost: (driver) => driver.setUnresponsive("e1"),
+  lossSettled: (driver) => {
+    driver.setUnresponsive("e1");
+    driver.list("e1");
+  },
   endpointSilent: (driver) => driver.setUnresponsive("e1"),
   endpointLapsed: (driver) => {
     driver.setUnresponsive("e1");
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -166,7 +166,10 @@
       onTimeout: () => {
         if (failures > 0) {
           this.applyDecision((nowMs) =>
-            setEndpointUnresponsive(state, endpoint.id, nowMs)
+            setEndpointUnresponsive(state, endpoint.id, {
+              cause: "timedOut",
+              nowMs,
+            })
           );
         }
         this.#list(endpoint, failures + 1);
