Give up a task that has crashed two endpoints, and start suspects alone

Cause: only run ends that an endpoint lists as failed count as attempts. A crashed endpoint lists nothing; its runs were requeued as lapsed, beside other tasks, without a limit. The class: retries without a bound after an end that nobody reports.

Before the change test/scheduler/crashing_tasks_test.ts fails: "a task crashes two endpoints, then its job fails" with 8 !== 2, "a crash counts under a later scheduler" with 4 !== 1, "a task of a stored job starts again only once the crash is in the store" with 2 !== 1.

Change: a task keeps its lost runs, in the progress row for stored jobs. A suspect starts only where nothing else runs, one a job at a time and on a tenth of the service's endpoints at most, those whose runs had gone on longest before the crash first. After two crashes under confirmed starts (three if a start was not confirmed) its job fails with the reason endpointsCrashed, which callers are told as final. A loss does not count when the endpoint answers again with the same process. A stored job's task starts again only once its losses are in the store.

Why it works: whoever shared an endpoint with the task completes alone and is not a suspect twice, and what crashes an endpoint alone has no other cause.

Related paths, looked through for the same cause: run ends under another scheduler (counted by run number), starts that are not answered (counted as lost when the endpoint goes away), runs at endpoints that drain (planned, not counted), best-effort jobs (counted in memory).

--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -1,6 +1,7 @@
 import { addRun } from "./add_run.ts";
 import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { isSuspect } from "./is_suspect.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -37,4 +38,5 @@
   task.expectedEndMs = 0;
   task.job.mayHaveStarted = true;
   addRun(endpoint, task);
+  if (isSuspect(task, nowMs)) endpoint.isolatedTask ??= task;
 }
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { endCrashingJobs } from "./end_crashing_jobs.ts";
 import { endJob } from "./end_job.ts";
 import { dropRuns } from "./drop_runs.ts";
 import { stopStragglers } from "./stop_stragglers.ts";
@@ -11,6 +12,7 @@
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
+import { releaseIsolation } from "./release_isolation.ts";
 import { releaseHeldTasks } from "./release_held_tasks.ts";
 import { endUnservableJobs } from "./end_unservable_jobs.ts";
 import { tryPassJob } from "./try_pass_job.ts";
@@ -33,7 +35,9 @@
     clearStoppedRuns(state, endpoint, nowMs);
     dropExpiredRuns(state, endpoint, nowMs);
     stopForeignRuns(state, endpoint, nowMs);
+    releaseIsolation(endpoint);
   }
+  endCrashingJobs(state, nowMs);
   endAndEvictJobs(state, nowMs);
   stopStragglers(state, nowMs);
   expireLeases(state, nowMs);
@@ -160,9 +164,6 @@
       });
     }
   }
-  for (const task of state.suspects) {
-    if (task.job.outcome || task.phase === "done") state.suspects.delete(task);
-  }
   evictUnmatchedRunEnds(state, nowMs);
   for (const [id, { passedMs }] of state.passedJobs) {
     // The map is in the order in which jobs were passed, so all further ones are newer.
--- a/src/scheduler/compute_service_capacity.ts
+++ b/src/scheduler/compute_service_capacity.ts
@@ -8,9 +8,9 @@
 ): Map<string, ServiceCapacity> {
   const capacities = new Map<string, ServiceCapacity>();
   for (const endpoint of state.endpoints.values()) {
-    const { row, phase, used } = endpoint;
+    const { row, phase, used, isolatedTask } = endpoint;
     if (phase !== "usable" || row.isDraining) continue;
-    const free = canListFurtherEnd(state, endpoint)
+    const free = !isolatedTask && canListFurtherEnd(state, endpoint)
       ? Math.max(0, row.room.cpu - used.cpu)
       : 0;
     const capacity = capacities.get(row.service) ??
--- a/src/scheduler/count_startable_tasks.ts
+++ b/src/scheduler/count_startable_tasks.ts
@@ -10,8 +10,8 @@
   const cpu = Math.max(1, order.steps[0]?.room.cpu ?? 1);
   let count = 0;
   for (const endpoint of state.endpoints.values()) {
-    const { row, phase, used } = endpoint;
-    if (phase !== "usable" || row.isDraining) continue;
+    const { row, phase, used, isolatedTask } = endpoint;
+    if (phase !== "usable" || row.isDraining || isolatedTask) continue;
     if (!canListFurtherEnd(state, endpoint)) continue;
     if (row.service !== order.service) continue;
     count += Math.max(0, Math.floor((row.room.cpu - used.cpu) / cpu));
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -38,6 +38,8 @@
     hasKnownStart: false,
     endedMs: 0,
     unsavedEnds: [],
+    lossChanges: 0,
+    savedLossChanges: 0,
   };
   job.tasks = order.steps.flatMap((step, stepIndex) =>
     Array.from(
--- a/src/scheduler/describe_group_capacity.ts
+++ b/src/scheduler/describe_group_capacity.ts
@@ -13,9 +13,10 @@
   }
   const startable = new Map<string, number>();
   for (const endpoint of state.endpoints.values()) {
-    const { row, phase, used } = endpoint;
+    const { row, phase, used, isolatedTask } = endpoint;
     const taskCpu = state.taskCpu.get(row.service);
     if (phase !== "usable" || row.isDraining || !taskCpu) continue;
+    if (isolatedTask) continue;
     if (!canListFurtherEnd(state, endpoint)) continue;
     const count = Math.max(0, Math.floor((row.room.cpu - used.cpu) / taskCpu));
     startable.set(row.service, (startable.get(row.service) ?? 0) + count);
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -16,6 +16,8 @@
   used: { cpu: number; memoryMb: number; gpus: number };
   /** Tasks whose latest run is at this endpoint, by task name. */
   runs: Map<string, ScheduledTask>;
+  /** The suspect that is the only task to run here, or for which the endpoint is kept until its runs have ended. */
+  isolatedTask?: ScheduledTask;
   /** Runs that the endpoint lists and that this scheduler neither started nor adopted, by task name. */
   foreignRuns: Map<string, ForeignRun>;
   /** Number of run ends in the latest listing; 0 once the lease has expired, as those ends do not count any more. */
--- /dev/null
+++ b/src/scheduler/is_suspect.ts
@@ -0,0 +1,12 @@
+import { countCrashes } from "./count_crashes.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+
+/** Number of lost runs that make a task suspect although no endpoint is known to have crashed. */
+const LOSSES_OF_SUSPECT = 2;
+
+/** Whether a task may have crashed an endpoint, so that it starts only where nothing else runs. */
+export function isSuspect(task: ScheduledTask, nowMs: number): boolean {
+  const { length } = task.lostRuns;
+  if (length === 0) return false;
+  return length >= LOSSES_OF_SUSPECT || countCrashes(task, nowMs).all > 0;
+}
--- a/src/scheduler/job_outcome.ts
+++ b/src/scheduler/job_outcome.ts
@@ -7,7 +7,12 @@
   /** No task has run or will run. */
   | { type: "refused"; reason: RefusalReason; retryAfterMs: number };
 
-type FailureReason = "attemptsUsed" | "outOfTime" | "abandoned" | "cancelled";
+type FailureReason =
+  | "attemptsUsed"
+  | "endpointsCrashed"
+  | "outOfTime"
+  | "abandoned"
+  | "cancelled";
 type RefusalReason =
   | "outOfTime"
   | "noRoomInTime"
--- a/src/scheduler/lost_run.ts
+++ b/src/scheduler/lost_run.ts
@@ -5,6 +5,8 @@
   processStartMs: number;
   /** Whether the endpoint's process is taken to have ended; otherwise the endpoint may only be out of reach. */
   hasCrashed: boolean;
+  /** Whether the endpoint had confirmed the start; otherwise the run may not have begun before the endpoint went away. */
+  wasConfirmed: boolean;
   /** When the run was lost, by this scheduler's clock, in ms. */
   lostMs: number;
   /** How long the run had been going on, in ms. */
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -2,23 +2,22 @@
 import { canStartLateJob } from "../decide/can_start_late_job.ts";
 import { isWanted } from "./is_wanted.ts";
 import { isLikelyLate } from "../decide/is_likely_late.ts";
-import { addRun } from "./add_run.ts";
 import { BinaryHeap } from "../utils/binary_heap.ts";
 import type { ServiceCapacity } from "./service_capacity.ts";
-import { computeEndpointClock } from "./compute_endpoint_clock.ts";
-import { computeRunNumber } from "./compute_run_number.ts";
 import { computeServiceCapacity } from "./compute_service_capacity.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
-import type { EndpointRecord } from "./endpoint_record.ts";
-import { recordJobChange } from "./record_job_change.ts";
-import { recordEvent } from "./record_event.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { startTask } from "./start_task.ts";
+import { placeSuspects } from "./place_suspects.ts";
+import { canStartAgain } from "./can_start_again.ts";
+import { isSuspect } from "./is_suspect.ts";
 
 /** Starts waiting tasks as far as free capacity allows, those of the most urgent job first. */
 export function placeTasks(state: SchedulerState, nowMs: number): void {
   if (state.waiting.size === 0) return;
+  placeSuspects(state, nowMs);
   let capacities = computeServiceCapacity(state);
   const hasForeignRuns = hasAnyForeignRun(state);
   const queue = new BinaryHeap<ScheduledJob>();
@@ -75,6 +74,9 @@
   let started = 0;
   for (const task of job.tasks) {
     if (task.phase !== "waiting" || task.heldUntilMs > 0) continue;
+    if (task.lostRuns.length > 0 && !canStartBesideOthers(task, nowMs)) {
+      continue;
+    }
     const endpoint = chooseEndpoint(state, task, nowMs);
     // A foreign run keeps only its own task from starting; the job's next task may start.
     if (!endpoint && hasForeignRuns && hasForeignRun(state, task)) continue;
@@ -85,6 +87,11 @@
   return started;
 }
 
+/** Whether a task with lost runs may start where other tasks run. */
+function canStartBesideOthers(task: ScheduledTask, nowMs: number): boolean {
+  return !isSuspect(task, nowMs) && canStartAgain(task, nowMs);
+}
+
 function hasAnyForeignRun(state: SchedulerState): boolean {
   for (const { foreignRuns } of state.endpoints.values()) {
     if (foreignRuns.size > 0) return true;
@@ -102,53 +109,3 @@
   }
   return false;
 }
-
-/** Starts a task at an endpoint: reserves its resources, and emits the start request and the notification of its VMs. */
-function startTask(
-  state: SchedulerState,
-  endpoint: EndpointRecord,
-  start: { task: ScheduledTask; nowMs: number },
-): void {
-  const { task, nowMs } = start;
-  const { job } = task;
-  const earlierRun = task.run;
-  task.run = computeRunNumber(task, endpoint.token);
-  task.phase = "starting";
-  task.startSentMs = nowMs;
-  task.startConfirmedMs = 0;
-  task.startedClockMs = 0;
-  task.stoppedByMs = 0;
-  task.progress = 0;
-  task.expectedEndMs = 0;
-  if (!job.mayHaveStarted) recordJobChange(state, job);
-  job.mayHaveStarted = true;
-  job.hasKnownStart = true;
-  job.waitingTaskCount -= 1;
-  if (job.waitingTaskCount === 0) state.waiting.delete(job);
-  addRun(endpoint, task);
-  const endpointId = endpoint.row.id;
-  const leaseEndMs = Math.floor(
-    computeEndpointClock(endpoint, nowMs) + state.limits.leaseMs,
-  );
-  endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
-  const vms = [...job.vms];
-  state.effects.push({
-    type: "notifyPlaced",
-    vms,
-    task: task.name,
-    endpointId,
-  });
-  const { run } = task;
-  state.effects.push({ type: "startTask", endpointId, task, run, leaseEndMs });
-  recordEvent(state, "taskPlaced", {
-    task: task.name,
-    run,
-    endpoint: endpointId,
-    token: endpoint.token,
-    earlierRun,
-    waitedMs: Math.round(nowMs - job.arrivedMs),
-    usedCpu: endpoint.used.cpu,
-    slowness: Math.round(endpoint.slowness * 100) / 100,
-    heardAgoMs: Math.round(nowMs - endpoint.lastReplyMs),
-  });
-}
--- a/src/scheduler/record_lost_runs.ts
+++ b/src/scheduler/record_lost_runs.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
-import { recordJobChange } from "./record_job_change.ts";
+import { recordLossChange } from "./record_loss_change.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { SilenceCause } from "./silence_cause.ts";
@@ -27,7 +27,7 @@
     if (task.job.outcome || task.startSentMs >= sentBeforeMs) continue;
     if (!addLostRun(task, endpoint, { hasCrashed, nowMs })) continue;
     state.suspects.add(task);
-    recordJobChange(state, task.job);
+    recordLossChange(state, task.job);
     recordEvent(state, "runLost", {
       task: task.name,
       run: task.run,
@@ -59,6 +59,7 @@
     endpointId: row.id,
     processStartMs,
     hasCrashed,
+    wasConfirmed: task.startConfirmedMs > 0,
     lostMs: nowMs,
     ageMs: nowMs - task.startSentMs,
   });
--- a/src/scheduler/review_lost_runs.ts
+++ b/src/scheduler/review_lost_runs.ts
@@ -1,7 +1,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { LostRun } from "./lost_run.ts";
 import { recordEvent } from "./record_event.ts";
-import { recordJobChange } from "./record_job_change.ts";
+import { recordLossChange } from "./record_loss_change.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -15,6 +15,7 @@
   endpoint: EndpointRecord,
 ): void {
   for (const task of state.suspects) {
+    if (task.job.outcome) continue;
     for (const lost of [...task.lostRuns]) {
       if (lost.endpointId !== endpoint.row.id || lost.processStartMs === 0) {
         continue;
@@ -35,7 +36,7 @@
   if (hasCrashed && lost.hasCrashed) return;
   if (hasCrashed) lost.hasCrashed = true;
   else task.lostRuns.splice(task.lostRuns.indexOf(lost), 1);
-  recordJobChange(state, task.job);
+  recordLossChange(state, task.job);
   recordEvent(state, "lossSettled", {
     task: task.name,
     endpoint: endpoint.row.id,
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -31,6 +31,9 @@
   endedMs: number;
   /** Run ends of a stored job whose effect is not in the store yet. */
   unsavedEnds: RunEndId[];
+  /** Number of changes of the tasks' lost runs, and how many of these are in the store. */
+  lossChanges: number;
+  savedLossChanges: number;
   /** When the job was orphaned: its last VM was lost while a caller waited there, in ms. */
   orphanedMs?: number;
   /** How the last VM was lost: its link was closed, or it became unresponsive. */
--- a/src/scheduler/stored_progress.ts
+++ b/src/scheduler/stored_progress.ts
@@ -1,7 +1,11 @@
+import type { LostRun } from "./lost_run.ts";
+
 /** Progress of a stored job, as an earlier scheduler has saved it. */
 export type StoredProgress = {
   /** Whether each task is done, by the task's position in the job. */
   done: boolean[];
   /** Failed runs: the task's position in the job and the run number. */
   failedRuns: { task: number; run: number }[];
+  /** Runs that were lost with their endpoints, with the task's position in the job. Default: none. */
+  lostRuns?: (Omit<LostRun, "lostMs" | "ageMs"> & { task: number })[];
 };
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -39,7 +39,10 @@
     isResubmitted: mayHaveRun,
     isKept: true,
   });
-  if (progress) addFailures(job, progress);
+  if (progress) {
+    addFailures(job, progress);
+    addLostRuns(state, job, { progress, nowMs });
+  }
   const done = job.tasks
     .filter((_, index) => progress?.done[index])
     .map(({ name }) => name);
@@ -63,6 +66,25 @@
   }
 }
 
+/** Sets the lost runs that an earlier scheduler has saved, less those whose endpoint has listed its runs since under the same process. */
+function addLostRuns(
+  state: SchedulerState,
+  job: ScheduledJob,
+  from: { progress: StoredProgress; nowMs: number },
+): void {
+  const { progress, nowMs } = from;
+  for (const { task: index, ...lost } of progress.lostRuns ?? []) {
+    const task = job.tasks[index];
+    const processStartMs = state.endpoints.get(lost.endpointId)
+      ?.processStartMs;
+    if (!task || processStartMs === lost.processStartMs) continue;
+    const hasCrashed = lost.hasCrashed ||
+      processStartMs !== undefined && processStartMs > 0;
+    task.lostRuns.push({ ...lost, hasCrashed, lostMs: nowMs, ageMs: 0 });
+    state.suspects.add(task);
+  }
+}
+
 /** Ends the job if all its tasks are done or a task has used up its attempts. */
 function endIfFinished(
   state: SchedulerState,
--- a/src/stored_jobs/decode_progress.ts
+++ b/src/stored_jobs/decode_progress.ts
@@ -17,5 +17,16 @@
         hasFailed ? [{ task, run }] : []
       )
     ),
+    lostRuns: (row.lostRuns ?? []).flatMap((
+      [endpointId, processStartMs, hasCrashed, wasConfirmed, tasks],
+    ) =>
+      tasks.map((task) => ({
+        endpointId,
+        processStartMs,
+        hasCrashed,
+        wasConfirmed,
+        task,
+      }))
+    ),
   };
 }
--- /dev/null
+++ b/src/stored_jobs/encode_lost_runs.ts
@@ -0,0 +1,34 @@
+import type { ScheduledTask } from "../scheduler/scheduled_task.ts";
+import type { JobProgressRow } from "./job_progress_row.ts";
+
+type LostRuns = NonNullable<JobProgressRow["lostRuns"]>;
+
+/** Most lost runs and endpoints together that a row has, so that it fits beside the other progress of a large job. */
+const MAX_ENTRIES = 200;
+
+/** Encodes the lost runs of a job's tasks by endpoint, those of crashed endpoints first. */
+export function encodeLostRuns(tasks: ScheduledTask[]): LostRuns {
+  const rows = new Map<string, LostRuns[number]>();
+  tasks.forEach(({ lostRuns }, index) => {
+    for (const lost of lostRuns) {
+      const { endpointId, processStartMs, hasCrashed, wasConfirmed } = lost;
+      const columns = [
+        endpointId,
+        processStartMs,
+        hasCrashed,
+        wasConfirmed,
+      ] as const;
+      const key = columns.join(" ");
+      const row = rows.get(key) ?? [...columns, []];
+      row[4].push(index);
+      rows.set(key, row);
+    }
+  });
+  const sorted = [...rows.values()]
+    .sort((one, other) => Number(other[2]) - Number(one[2]));
+  let entries = 0;
+  return sorted.filter(([, , , , positions]) => {
+    entries += 1 + positions.length;
+    return entries <= MAX_ENTRIES;
+  });
+}
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -1,5 +1,6 @@
 import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
 import { encodeFlags } from "./encode_flags.ts";
+import { encodeLostRuns } from "./encode_lost_runs.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
 
 /** Encodes the progress that a later scheduler needs of a job that has not ended. */
@@ -12,8 +13,10 @@
       failed.set(run, flags);
     }
   });
+  const lostRuns = encodeLostRuns(tasks);
   return {
     done: encodeFlags(tasks.map(({ phase }) => phase === "done")),
     failedRuns: [...failed].map(([run, flags]) => [run, encodeFlags(flags)]),
+    ...(lostRuns.length > 0 && { lostRuns }),
   };
 }
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -8,4 +8,16 @@
    * equally often have equal run numbers, so there are few entries.
    */
   failedRuns?: [run: number, tasks: string][];
+  /**
+   * Endpoints that went away with runs of the job: the start of the endpoint's
+   * process, in Unix ms, whether that has crashed, whether the endpoint had
+   * confirmed the starts, and the positions of the tasks whose runs were there.
+   */
+  lostRuns?: [
+    endpointId: string,
+    processStartMs: number,
+    hasCrashed: boolean,
+    wasConfirmed: boolean,
+    tasks: number[],
+  ][];
 };
--- a/src/stored_jobs/save_stored_jobs.ts
+++ b/src/stored_jobs/save_stored_jobs.ts
@@ -26,6 +26,8 @@
   ends: RunEndId[];
   /** Whether the end record is written; otherwise the progress is. */
   isEnd: boolean;
+  /** The job's number of changes of lost runs when it was taken. */
+  lossChanges: number;
 };
 
 /**
@@ -62,7 +64,8 @@
       state.unsaved.delete(job);
       const ends = job.unsavedEnds;
       job.unsavedEnds = [];
-      return { job, ends, isEnd: job.outcome !== undefined };
+      const { lossChanges, outcome } = job;
+      return { job, ends, isEnd: outcome !== undefined, lossChanges };
     });
   }
 
@@ -82,8 +85,10 @@
       : [{ type: "replace", key, value, revision }];
   }
 
-  function confirm({ job, ends, isEnd }: Save, revision: number): void {
+  function confirm(save: Save, revision: number): void {
+    const { job, ends, isEnd } = save;
     const { id } = job.order;
+    job.savedLossChanges = save.lossChanges;
     if (isEnd) {
       progressRevisions.delete(id);
       const tookMs = Math.round(readMonotonicMs() - job.endedMs);
--- /dev/null
+++ b/test/scheduler/crashing_tasks_test.ts
@@ -0,0 +1,289 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { decodeProgress } from "../../src/stored_jobs/decode_progress.ts";
+import { encodeProgress } from "../../src/stored_jobs/encode_progress.ts";
+import type { EndpointListing } from "../../src/scheduler/endpoint_listing.ts";
+import type { SilenceCause } from "../../src/scheduler/silence_cause.ts";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+import type { Start } from "../fixtures/create_scheduler_driver.ts";
+
+/** Time after which the lease of an unresponsive endpoint has expired, and a margin. */
+const LAPSE_MS = 1_300;
+/** Time after which an endpoint that does not answer again counts as crashed. */
+const NO_RETURN_MS = 15_100;
+
+/** Creates a scheduler of idle endpoints that accept each start; some tasks crash the endpoint that starts them. */
+function createWorld(
+  options: { endpoints: number; token?: number; processStartMs?: number },
+) {
+  const driver = createSchedulerDriver({ token: options.token });
+  const ids = Array.from(
+    { length: options.endpoints },
+    (_, index) => `e${index + 1}`,
+  );
+  let nowMs = 0;
+  let handled = 0;
+  const down = new Set<string>();
+  const { processStartMs = 1 } = options;
+  const processStarts = new Map(ids.map((id) => [id, processStartMs]));
+  const startsOf = (job: string) =>
+    driver.starts.filter(({ task }) => task.job.order.id === job);
+
+  function list(id: string, running: EndpointListing["running"] = []): void {
+    driver.list(id, {
+      clockMs: nowMs,
+      processStartMs: processStarts.get(id),
+      running,
+    });
+  }
+
+  function addEndpoint(id: string): void {
+    driver.addEndpoint(id);
+    list(id);
+  }
+
+  function listAll(): void {
+    for (const id of ids) {
+      if (down.has(id)) continue;
+      const running = [...driver.state.endpoints.get(id)?.runs.values() ?? []]
+        .map(({ name, run }) => ({ task: name, run, progress: 0.1 }));
+      list(id, running);
+    }
+  }
+
+  function pass(byMs: number): void {
+    for (const endMs = nowMs + byMs; nowMs < endMs;) {
+      nowMs += 100;
+      driver.advanceTo(nowMs);
+      listAll();
+    }
+  }
+
+  function crash(id: string, cause: SilenceCause = "broken"): void {
+    down.add(id);
+    for (const start of driver.starts) {
+      if (start.endpointId === id) driver.reply(start, { type: "accepted" });
+    }
+    driver.setUnresponsive(id, cause);
+  }
+
+  /** Lets each start of the job crash its endpoint, until the job is not started for a while. */
+  function crashEach(job: string, cause?: SilenceCause): Start[] {
+    for (;;) {
+      const fresh = startsOf(job).slice(handled);
+      if (fresh.length === 0) return startsOf(job);
+      handled += fresh.length;
+      for (const { endpointId } of fresh) crash(endpointId, cause);
+      pass(LAPSE_MS);
+      driver.confirmSaved();
+      pass(100);
+    }
+  }
+
+  for (const id of ids) addEndpoint(id);
+  pass(100);
+  return {
+    driver,
+    startsOf,
+    pass,
+    crash,
+    crashEach,
+    /** The endpoint answers again: the same process, or another one that runs nothing. */
+    bringBack: (id: string, startMs = processStartMs) => {
+      down.delete(id);
+      processStarts.set(id, startMs);
+      list(id);
+    },
+    addEndpoint: (id: string) => {
+      ids.push(id);
+      processStarts.set(id, processStartMs);
+      addEndpoint(id);
+    },
+  };
+}
+
+/** Submits the stored job `j` to a later scheduler, with the progress that an earlier one would have saved. */
+function submitToLater(
+  earlier: ReturnType<typeof createWorld>,
+  options: { endpoints: number; processStartMs?: number },
+) {
+  const job = earlier.driver.state.jobs.get("j");
+  assert.ok(job);
+  const later = createWorld({ ...options, token: 200 });
+  const progress = decodeProgress(encodeProgress(job), job.order);
+  later.driver.submitStored(job.order, { progress, mayHaveRun: true });
+  later.pass(2_600);
+  return later;
+}
+
+describe("tasks that crash the endpoints that start them", () => {
+  // A task crashed one endpoint after the other until the play ended, as runs
+  // that were lost with their endpoints were started again without a limit.
+  test("a task crashes two endpoints, then its job fails", () => {
+    for (const isStored of [true, false]) {
+      const world = createWorld({ endpoints: 8 });
+      if (isStored) world.driver.submitStored({ id: "j" });
+      else world.driver.submit({ id: "j", stretch: 30 });
+
+      assert.equal(world.crashEach("j").length, 2);
+      assert.deepEqual(world.driver.outcomes.get("j"), {
+        type: "failed",
+        reason: "endpointsCrashed",
+      });
+    }
+  });
+
+  // Tasks that shared an endpoint with a crashing one were started beside it again.
+  test("a task that shared an endpoint with a crashing one starts again alone, and completes", () => {
+    const world = createWorld({ endpoints: 1 });
+    const { driver } = world;
+    driver.submitStored({ id: "j" });
+    driver.submitStored({ id: "k" });
+    for (const id of ["e2", "e3", "e4"]) world.addEndpoint(id);
+    const [{ endpointId: shared }] = world.startsOf("k");
+    assert.equal(world.startsOf("j")[0].endpointId, shared);
+    world.crashEach("j");
+    assert.equal(driver.outcomes.get("j")?.type, "failed");
+
+    const again = world.startsOf("k").at(-1) as Start;
+    assert.notEqual(again.endpointId, shared);
+    driver.submit({ id: "l", steps: [createStep(8)] });
+    const beside = world.startsOf("l").map(({ endpointId }) => endpointId);
+    assert.ok(!beside.includes(again.endpointId), "nothing starts beside it");
+    driver.end(again, "done", 1);
+    assert.deepEqual(driver.outcomes.get("k"), { type: "completed" });
+  });
+
+  // A scheduler that began after the crash counted from zero.
+  test("a crash counts under a later scheduler", () => {
+    const earlier = createWorld({ endpoints: 4 });
+    earlier.driver.submitStored({ id: "j" });
+    earlier.crash(earlier.startsOf("j")[0].endpointId);
+    const later = submitToLater(earlier, {
+      endpoints: 4,
+      processStartMs: 2,
+    });
+
+    assert.equal(later.crashEach("j").length, 1);
+    assert.equal(later.driver.outcomes.get("j")?.type, "failed");
+  });
+
+  // The scheduler could end between a crash and the next start with the crash counted nowhere.
+  test("a task of a stored job starts again only once the crash is in the store", () => {
+    const world = createWorld({ endpoints: 4 });
+    world.driver.submitStored({ id: "j" });
+    world.driver.confirmSaved();
+    world.crash(world.startsOf("j")[0].endpointId);
+    world.pass(5_000);
+    assert.equal(world.startsOf("j").length, 1);
+
+    world.driver.confirmSaved();
+    world.pass(100);
+    assert.equal(world.startsOf("j").length, 2);
+  });
+
+  test("a run that is lost with an endpoint which answers again does not count", () => {
+    const world = createWorld({ endpoints: 8 });
+    world.driver.submitStored({ id: "j" });
+    for (let cut = 1; cut <= 6; cut += 1) {
+      const last = world.startsOf("j").at(-1) as Start;
+      world.crash(last.endpointId);
+      world.driver.confirmSaved();
+      world.pass(LAPSE_MS);
+      world.bringBack(last.endpointId);
+      world.driver.confirmSaved();
+      world.pass(100);
+    }
+
+    assert.equal(world.startsOf("j").length, 7);
+    assert.equal(world.driver.outcomes.get("j"), undefined);
+    assert.equal(world.driver.state.suspects.size, 0);
+  });
+
+  test("a later scheduler does not count a run that was lost with an endpoint which answers again", () => {
+    const earlier = createWorld({ endpoints: 4 });
+    earlier.driver.submitStored({ id: "j" });
+    earlier.crash(earlier.startsOf("j")[0].endpointId);
+    const later = submitToLater(earlier, { endpoints: 4 });
+
+    assert.equal(later.driver.state.suspects.size, 0);
+    assert.equal(later.startsOf("j").length, 1);
+  });
+
+  test("endpoints that time out and never answer again count as crashed, and at most three are lost", () => {
+    const world = createWorld({ endpoints: 8 });
+    world.driver.submitStored({ id: "j" });
+
+    assert.equal(world.crashEach("j", "timedOut").length, 3);
+    assert.equal(world.driver.outcomes.get("j"), undefined);
+    world.pass(NO_RETURN_MS);
+    assert.equal(world.startsOf("j").length, 3);
+    assert.equal(world.driver.outcomes.get("j")?.type, "failed");
+  });
+
+  test("an endpoint that answers again as another process has crashed, though its requests timed out", () => {
+    const world = createWorld({ endpoints: 8 });
+    world.driver.submitStored({ id: "j" });
+    for (let crash = 1; crash <= 2; crash += 1) {
+      const last = world.startsOf("j").at(-1) as Start;
+      world.crash(last.endpointId, "timedOut");
+      world.driver.confirmSaved();
+      world.pass(LAPSE_MS);
+      world.bringBack(last.endpointId, 2);
+      world.driver.confirmSaved();
+      world.pass(100);
+    }
+
+    assert.ok(world.startsOf("j").length <= 3);
+    world.crashEach("j");
+    assert.ok(world.startsOf("j").length <= 3);
+    assert.equal(world.driver.outcomes.get("j")?.type, "failed");
+  });
+
+  test("a run that is lost with an endpoint which had announced its end does not count", () => {
+    const world = createWorld({ endpoints: 4 });
+    world.driver.submitStored({ id: "j" });
+    const [{ endpointId }] = world.startsOf("j");
+    world.driver.updateRow(endpointId, { isDraining: true });
+    world.crash(endpointId);
+    world.pass(LAPSE_MS);
+
+    assert.equal(world.driver.state.suspects.size, 0);
+    assert.equal(world.startsOf("j").length, 2);
+  });
+
+  test("where no endpoint is idle, one is emptied for a suspect, and no more than a part of them", () => {
+    const world = createWorld({ endpoints: 4 });
+    const { driver } = world;
+    driver.submitStored({ id: "j", steps: [createStep(2)] });
+    const [{ endpointId }] = world.startsOf("j");
+    world.crash(endpointId);
+    driver.confirmSaved();
+    driver.submitStored({ id: "k", steps: [createStep(40)] });
+    world.pass(LAPSE_MS);
+    driver.confirmSaved();
+    world.pass(100);
+
+    const kept = [...driver.state.endpoints.values()]
+      .filter(({ isolatedTask, phase }) => isolatedTask && phase === "usable");
+    assert.equal(kept.length, 1);
+    const [endpoint] = kept;
+    const runs = [...endpoint.runs.values()];
+    driver.list(endpoint.row.id, {
+      clockMs: 1_500,
+      ended: runs.map(({ name, run }, index) => ({
+        number: index + 1,
+        task: name,
+        run,
+        how: "done",
+      })),
+    });
+    assert.deepEqual(
+      [...endpoint.runs.keys()],
+      [endpoint.isolatedTask?.name],
+    );
+  });
+});
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -14,6 +14,16 @@
   "powerLoss",
   "cancel",
 ];
+/** Faults that strike while tasks crash endpoints. */
+const KINDS_BESIDE_CRASHES: Fault["kind"][] = [
+  "cut",
+  "late",
+  "answersLost",
+  "takeover",
+  "dataCentreCut",
+  "powerLoss",
+  "storeDown",
+];
 const LINK_KINDS: Fault["kind"][] = ["linkClosed", "linkUnresponsive"];
 
 /** Creates the faults of a history, of any kind but the losses of links, at random times. */
@@ -82,6 +92,23 @@
   ).map(([outages, others]) => [...outages.flat(), ...others]);
 }
 
+/** Creates the faults of a history in which tasks crash the endpoints that start them. */
+export function createCrashFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const crashes = createArray(["tasksCrash"], {
+    minLength: 1,
+    maxLength: 3,
+    maxDurationMs: 8_000,
+    lastIndex: 0,
+  });
+  const others = createArray(KINDS_BESIDE_CRASHES, {
+    minLength: 0,
+    maxLength: 6,
+    maxDurationMs: 4_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(crashes, others).map((faults) => faults.flat());
+}
+
 /** Creates the faults of a history in which VMs link to an earlier scheduler again while it goes on running. */
 export function createEarlierSchedulerFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const takeover = fc.record({
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from "node:util";
 import * as fc from "fast-check";
 import {
+  createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
@@ -23,6 +24,7 @@
   links: createLinkFaultArbitrary(),
   former: createEarlierSchedulerFaultArbitrary(),
   store: createStoreFaultArbitrary(),
+  crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
   if (values.only === undefined || values.only === name) {
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import * as fc from "fast-check";
 import {
+  createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
@@ -14,6 +15,7 @@
 const LINK_HISTORIES = 25;
 const EARLIER_SCHEDULER_HISTORIES = 15;
 const STORE_HISTORIES = 40;
+const CRASH_HISTORIES = 40;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -63,6 +65,31 @@
   );
 });
 
+test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createCrashFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: CRASH_HISTORIES },
+  );
+});
+
+test("a job does not fail for a crash of an endpoint that may have happened before its task began", () => {
+  const faults = [
+    { atMs: 4_787, forMs: 4_616, endpoint: 0, kind: "tasksCrash" } as const,
+    { atMs: 0, forMs: 100, endpoint: 0, kind: "tasksCrash" } as const,
+    { atMs: 6_113, forMs: 100, endpoint: 0, kind: "takeover" } as const,
+    { atMs: 9_810, forMs: 100, endpoint: 0, kind: "takeover" } as const,
+    { atMs: 8_723, forMs: 646, endpoint: 2, kind: "dataCentreCut" } as const,
+  ];
+
+  assert.deepEqual(runSchedulerHistory(faults, 48_843).violations, []);
+});
+
 test("a task whose end is hidden by a full listing while the store is down is not started again", () => {
   const faults = [
     { atMs: 2_214, forMs: 506, endpoint: 0, kind: "storeDown" } as const,
--- a/test/stored_jobs/progress_test.ts
+++ b/test/stored_jobs/progress_test.ts
@@ -42,6 +42,7 @@
   assert.deepEqual(decodeProgress({ done: "AQ==" }, job.order), {
     done: [true, false],
     failedRuns: [],
+    lostRuns: [],
   });
 });
 
