Count starts that a scheduler's end leaves in doubt

What callers saw: the count of a task's crashes misses those of which the scheduler learned nothing before it ended, so that each scheduler that began let the task crash one more endpoint.

Cause: a loss is saved some 0.1 s after the crash. A later scheduler finds the task neither done nor running, and starts it as if it had never been started.

Change: where the hold of a takeover shows a trace of a crash (an endpoint that has not listed its runs for long, or whose process is younger than the job), the tasks that it holds have a doubtful start. From the first lost run or doubtful start on, each start of a stored job's task is counted in the store before it is requested, and taken out of the count once it is known what became of it. At four losses and doubts a task starts alone, at five its job fails. Suspects are not moved to faster endpoints, as each start is a risk.

Why it works: the first start can be missed once, by the scheduler that dies; all further ones are in the store before they happen, so six starts would need a count of five.

The fuzzing ends the scheduler 0 to 1.5 s after crashes, beside cuts, late orders, lost answers, takeovers and outages of the store. On the way it found: a crash counted for a run that may not have begun; doubts counted for starts that were not requested (starts now hold their endpoint until the count is in the store); a trace missed when the next scheduler began more than 5 s after the crash (now by the age of the job).

Two tests of holds that end by time-out confirm the saves that such starts now wait for; their bounds are the same.

--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -38,5 +38,7 @@
   task.expectedEndMs = 0;
   task.job.mayHaveStarted = true;
   addRun(endpoint, task);
+  // The start of the run is among the doubtful ones, if there are any.
+  if (task.doubtfulStarts > 0) task.isStartCounted = true;
   if (isSuspect(task, nowMs)) endpoint.isolatedTask ??= task;
 }
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -12,6 +12,7 @@
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
+import { requestCountedStarts } from "./request_counted_starts.ts";
 import { releaseIsolation } from "./release_isolation.ts";
 import { releaseHeldTasks } from "./release_held_tasks.ts";
 import { endUnservableJobs } from "./end_unservable_jobs.ts";
@@ -37,6 +38,7 @@
     stopForeignRuns(state, endpoint, nowMs);
     releaseIsolation(endpoint);
   }
+  requestCountedStarts(state, nowMs);
   endCrashingJobs(state, nowMs);
   endAndEvictJobs(state, nowMs);
   stopStragglers(state, nowMs);
--- /dev/null
+++ b/src/scheduler/clear_counted_start.ts
@@ -0,0 +1,14 @@
+import { recordLossChange } from "./record_loss_change.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Takes the task's counted start, if there is one, out of the doubtful ones: what became of it is known. */
+export function clearCountedStart(
+  state: SchedulerState,
+  task: ScheduledTask,
+): void {
+  if (!task.isStartCounted) return;
+  task.isStartCounted = false;
+  task.doubtfulStarts -= 1;
+  recordLossChange(state, task.job);
+}
--- a/src/scheduler/has_used_crashes.ts
+++ b/src/scheduler/has_used_crashes.ts
@@ -1,4 +1,5 @@
 import { countCrashes } from "./count_crashes.ts";
+import { MAX_DOUBTS } from "./max_doubts.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 
 /** Number of endpoints that crashed during a confirmed run of the task after which it is not started again: the first may have had another cause, the second ran nothing else. */
@@ -6,8 +7,9 @@
 /** The same number with runs that may not have begun before the crash. */
 const MAX_CRASHES = 3;
 
-/** Whether so many endpoints have crashed under the task that it is not started again. */
+/** Whether so many endpoints have, or may have, crashed under a waiting task that it is not started again. */
 export function hasUsedCrashes(task: ScheduledTask, nowMs: number): boolean {
   const { all, confirmed } = countCrashes(task, nowMs);
-  return confirmed >= MAX_CONFIRMED_CRASHES || all >= MAX_CRASHES;
+  if (confirmed >= MAX_CONFIRMED_CRASHES || all >= MAX_CRASHES) return true;
+  return all + task.doubtfulStarts >= MAX_DOUBTS;
 }
--- a/src/scheduler/hold_task.ts
+++ b/src/scheduler/hold_task.ts
@@ -13,5 +13,6 @@
   },
 ): void {
   task.heldUntilMs = from.nowMs + MAX_HOLD_MS;
+  task.isHoldCounted = false;
   task.listingsValidFromMs = from.sinceMs;
 }
--- a/src/scheduler/is_suspect.ts
+++ b/src/scheduler/is_suspect.ts
@@ -1,4 +1,5 @@
 import { countCrashes } from "./count_crashes.ts";
+import { MAX_DOUBTS } from "./max_doubts.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 
 /** Number of lost runs that make a task suspect although no endpoint is known to have crashed. */
@@ -6,7 +7,9 @@
 
 /** Whether a task may have crashed an endpoint, so that it starts only where nothing else runs. */
 export function isSuspect(task: ScheduledTask, nowMs: number): boolean {
-  const { length } = task.lostRuns;
-  if (length === 0) return false;
-  return length >= LOSSES_OF_SUSPECT || countCrashes(task, nowMs).all > 0;
+  const { lostRuns, doubtfulStarts } = task;
+  if (lostRuns.length + doubtfulStarts >= MAX_DOUBTS - 1) return true;
+  if (lostRuns.length === 0) return false;
+  return lostRuns.length >= LOSSES_OF_SUSPECT ||
+    countCrashes(task, nowMs).all > 0;
 }
--- a/src/scheduler/place_suspects.ts
+++ b/src/scheduler/place_suspects.ts
@@ -1,5 +1,5 @@
 import { canHostTask } from "./can_host_task.ts";
-import { canStartAgain } from "./can_start_again.ts";
+import { canRestart } from "./can_restart.ts";
 import { computePlacementCost } from "./compute_placement_cost.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { isSuspect } from "./is_suspect.ts";
@@ -45,9 +45,14 @@
 ): boolean {
   const { job, phase, heldUntilMs } = task;
   if (phase !== "waiting" || heldUntilMs > 0 || job.outcome) return false;
-  if (!isSuspect(task, nowMs) || !canStartAgain(task, nowMs)) return false;
+  if (!isSuspect(task, nowMs) || !canRestart(task, nowMs)) {
+    return false;
+  }
   if (!isWanted(job)) return false;
-  return !job.order.isKept || nowMs <= state.roleExclusiveUntilMs;
+  if (!job.order.isKept) return true;
+  // A later scheduler has to know of the losses before the next start.
+  return job.savedLossChanges === job.lossChanges &&
+    nowMs <= state.roleExclusiveUntilMs;
 }
 
 /** Finds the endpoint that is kept for the task, or else chooses one, if another suspect may have one. */
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -11,7 +11,8 @@
 import type { SchedulerState } from "./scheduler_state.ts";
 import { startTask } from "./start_task.ts";
 import { placeSuspects } from "./place_suspects.ts";
-import { canStartAgain } from "./can_start_again.ts";
+import { canRestart } from "./can_restart.ts";
+import { hasLostRuns } from "./has_lost_runs.ts";
 import { isSuspect } from "./is_suspect.ts";
 
 /** Starts waiting tasks as far as free capacity allows, those of the most urgent job first. */
@@ -71,11 +72,15 @@
   at: { nowMs: number; hasForeignRuns: boolean },
 ): number {
   const { nowMs, hasForeignRuns } = at;
+  const areLossesSaved = !job.order.isKept ||
+    job.savedLossChanges === job.lossChanges;
   let started = 0;
   for (const task of job.tasks) {
     if (task.phase !== "waiting" || task.heldUntilMs > 0) continue;
-    if (task.lostRuns.length > 0 && !canStartBesideOthers(task, nowMs)) {
-      continue;
+    if (hasLostRuns(task)) {
+      const canStart = areLossesSaved && !isSuspect(task, nowMs) &&
+        canRestart(task, nowMs);
+      if (!canStart) continue;
     }
     const endpoint = chooseEndpoint(state, task, nowMs);
     // A foreign run keeps only its own task from starting; the job's next task may start.
@@ -87,11 +92,6 @@
   return started;
 }
 
-/** Whether a task with lost runs may start where other tasks run. */
-function canStartBesideOthers(task: ScheduledTask, nowMs: number): boolean {
-  return !isSuspect(task, nowMs) && canStartAgain(task, nowMs);
-}
-
 function hasAnyForeignRun(state: SchedulerState): boolean {
   for (const { foreignRuns } of state.endpoints.values()) {
     if (foreignRuns.size > 0) return true;
--- a/src/scheduler/record_lost_runs.ts
+++ b/src/scheduler/record_lost_runs.ts
@@ -1,3 +1,4 @@
+import { clearCountedStart } from "./clear_counted_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
 import { recordLossChange } from "./record_loss_change.ts";
@@ -25,7 +26,9 @@
   const hasCrashed = cause !== "timedOut";
   for (const task of endpoint.runs.values()) {
     if (task.job.outcome || task.startSentMs >= sentBeforeMs) continue;
+    if (state.countedStarts.has(task)) continue;
     if (!addLostRun(task, endpoint, { hasCrashed, nowMs })) continue;
+    clearCountedStart(state, task);
     state.suspects.add(task);
     recordLossChange(state, task.job);
     recordEvent(state, "runLost", {
--- a/src/scheduler/release_held_tasks.ts
+++ b/src/scheduler/release_held_tasks.ts
@@ -1,10 +1,18 @@
+import { hasLostRuns } from "./has_lost_runs.ts";
+import { recordLossChange } from "./record_loss_change.ts";
 import { hasHiddenEnds } from "./has_hidden_ends.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** How long an endpoint that left the store's list without answering may still have active runs, in ms; longer than network partitions usually last. */
 const MISSING_ENDPOINT_MS = 15_000;
 
+/** Rest of a hold in which an endpoint that has not listed its runs counts as a trace of a crash, in ms; leaves time to save that before the hold ends. */
+const CRASH_TRACE_MS = 1_000;
+/** Largest difference between the time of day at an endpoint and here, in ms. */
+const MAX_CLOCK_ERROR_MS = 5_000;
+
 /** Releases held tasks once the endpoints that may run them have listed their runs, or the hold has timed out. */
 export function releaseHeldTasks(state: SchedulerState, nowMs: number): void {
   for (const [id, missingSinceMs] of state.missingEndpoints) {
@@ -18,18 +26,59 @@
     endpoints.every(({ phase }) => phase === "usable");
   const mayHideEnds = endpoints.some((one) => hasHiddenEnds(state, one));
   const oldestMs = findOldestListing(state);
+  const youngestMs = findYoungestProcess(state);
   for (const job of state.waiting) {
+    const isAnyYounger = youngestMs >
+      computeAcceptedUnixMs(state, job) - MAX_CLOCK_ERROR_MS;
     for (const task of job.tasks) {
       if (task.heldUntilMs === 0) continue;
+      const hasTrace = isAnyYounger ||
+        nowMs > task.heldUntilMs - CRASH_TRACE_MS;
+      if (hasTrace) countHeldStart(state, task);
       // A hidden end may be that of the task.
       if (mayHideEnds && job.order.isKept) continue;
       const isTimedOut = nowMs > task.heldUntilMs;
       const isReady = areAllListed && isRunRuledOut(state, task, oldestMs);
-      if (isTimedOut || isReady) task.heldUntilMs = 0;
+      if (!isTimedOut && !isReady) continue;
+      task.heldUntilMs = 0;
+      if (!hasTrace) forgetHeldStart(state, task);
     }
   }
 }
 
+/** Finds when the youngest of all endpoints' processes began, as a Unix time in ms. */
+function findYoungestProcess(state: SchedulerState): number {
+  let youngestMs = 0;
+  for (const { processStartMs } of state.endpoints.values()) {
+    youngestMs = Math.max(youngestMs, processStartMs);
+  }
+  return youngestMs;
+}
+
+/** Computes when the job was accepted, as a Unix time in ms. */
+function computeAcceptedUnixMs(
+  { startedUnixMs, startedMs }: SchedulerState,
+  { arrivedMs }: ScheduledJob,
+): number {
+  return startedUnixMs + arrivedMs - startedMs;
+}
+
+/** Counts a start by the earlier scheduler as doubtful, as an endpoint may have crashed since: one whose process is younger than the job, or that has not listed its runs for long. A task with lost runs or doubtful starts has its starts counted ahead. */
+function countHeldStart(state: SchedulerState, task: ScheduledTask): void {
+  if (!task.job.order.isKept || task.isHoldCounted) return;
+  task.isHoldCounted = true;
+  if (hasLostRuns(task)) return;
+  task.doubtfulStarts = 1;
+  recordLossChange(state, task.job);
+}
+
+/** Takes back the earlier scheduler's last counted start, as no endpoint has crashed since. */
+function forgetHeldStart(state: SchedulerState, task: ScheduledTask): void {
+  if (task.doubtfulStarts === 0) return;
+  task.doubtfulStarts -= 1;
+  recordLossChange(state, task.job);
+}
+
 /** Finds when the oldest of all endpoints' latest listings was requested, in ms. */
 function findOldestListing(state: SchedulerState): number {
   let oldestMs = Infinity;
--- a/src/scheduler/retry_task.ts
+++ b/src/scheduler/retry_task.ts
@@ -1,3 +1,4 @@
+import { clearCountedStart } from "./clear_counted_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -17,6 +18,7 @@
   const { reason, endpoint, nowMs } = lostRun;
   const { job } = task;
   if (job.outcome || task.phase === "done" || task.phase === "waiting") return;
+  clearCountedStart(state, task);
   task.phase = "waiting";
   job.waitingTaskCount += 1;
   state.waiting.add(job);
--- a/src/scheduler/review_lost_runs.ts
+++ b/src/scheduler/review_lost_runs.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { isWatched } from "./is_watched.ts";
 import type { LostRun } from "./lost_run.ts";
 import { recordEvent } from "./record_event.ts";
 import { recordLossChange } from "./record_loss_change.ts";
@@ -22,10 +23,17 @@
       }
       reviewLostRun(state, task, { lost, endpoint });
     }
-    if (task.lostRuns.length === 0) state.suspects.delete(task);
+    if (!isWatched(task)) state.suspects.delete(task);
   }
 }
 
+/** Counts the start of a stored job's run that goes on as doubtful. */
+function countRunningStart(task: ScheduledTask): void {
+  if (!task.job.order.isKept || task.isStartCounted) return;
+  task.doubtfulStarts += 1;
+  task.isStartCounted = true;
+}
+
 function reviewLostRun(
   state: SchedulerState,
   task: ScheduledTask,
@@ -35,7 +43,11 @@
   const hasCrashed = lost.processStartMs !== endpoint.processStartMs;
   if (hasCrashed && lost.hasCrashed) return;
   if (hasCrashed) lost.hasCrashed = true;
-  else task.lostRuns.splice(task.lostRuns.indexOf(lost), 1);
+  else {
+    task.lostRuns.splice(task.lostRuns.indexOf(lost), 1);
+    // The run goes on, and may still crash the endpoint.
+    if (endpoint.runs.get(task.name) === task) countRunningStart(task);
+  }
   recordLossChange(state, task.job);
   recordEvent(state, "lossSettled", {
     task: task.name,
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -26,10 +26,16 @@
   failedRuns: number[];
   /** Runs that were lost with their endpoints and may have crashed these. */
   lostRuns: LostRun[];
+  /** Number of starts of a stored job's task after which it is not known whether the endpoint crashed, as the scheduler ended; includes the latest start if that was counted. */
+  doubtfulStarts: number;
+  /** Whether the latest or the next start is among the doubtful ones. */
+  isStartCounted: boolean;
   /** Endpoints where a run failed or a start was not answered, once for each. */
   failedEndpointIds: string[];
   /** Until when the task is held at most, in ms; 0 while it is not held. A held task does not start, as another scheduler's run of the task may be active at an endpoint that has not listed its runs since. */
   heldUntilMs: number;
+  /** Whether the hold has made the earlier scheduler's start of the task doubtful. */
+  isHoldCounted: boolean;
   /** Only listings requested from this time on show whether an endpoint runs the task, in ms. */
   listingsValidFromMs: number;
   /** Completed fraction of the latest run as last listed, 0 to 1. */
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -1,4 +1,5 @@
 import type { UnmatchedRunEnds } from "./unmatched_run_ends.ts";
+import type { CountedStart } from "./counted_start.ts";
 import type { Effect } from "./effect.ts";
 import type { GroupCapacity } from "../decide/group_capacity.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
@@ -19,12 +20,16 @@
   limits: SchedulerLimits;
   /** When this process became the scheduler, in ms. */
   startedMs: number;
+  /** The same as a Unix time, in ms. */
+  startedUnixMs: number;
   /** Open jobs and, for the retention period, ended ones, by id. */
   jobs: Map<string, ScheduledJob>;
   /** Jobs with at least one waiting task. */
   waiting: Set<ScheduledJob>;
-  /** Tasks with lost runs, which may have crashed the endpoints of these, in the order of their first losses. */
+  /** Tasks with lost runs or many doubtful starts, which may crash endpoints. */
   suspects: Set<ScheduledTask>;
+  /** Starts that are requested once the store counts them, by task. */
+  countedStarts: Map<ScheduledTask, CountedStart>;
   /** Endpoints of the store's list and others whose runs have not ended yet, by id. */
   endpoints: Map<string, EndpointRecord>;
   /** Run ends that did not belong to the latest run of a known task, by task name. */
--- a/src/scheduler/start_task.ts
+++ b/src/scheduler/start_task.ts
@@ -1,13 +1,14 @@
 import { addRun } from "./add_run.ts";
-import { computeEndpointClock } from "./compute_endpoint_clock.ts";
 import { computeRunNumber } from "./compute_run_number.ts";
+import { countStart } from "./count_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
-import { recordEvent } from "./record_event.ts";
+import { hasLostRuns } from "./has_lost_runs.ts";
 import { recordJobChange } from "./record_job_change.ts";
+import { requestStart } from "./request_start.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** Starts a task at an endpoint: reserves its resources, and emits the start request and the notification of its VMs. */
+/** Starts a task at an endpoint: reserves its resources, and requests the start, that of a stored job's task with lost runs or doubtful starts once the store counts it. */
 export function startTask(
   state: SchedulerState,
   endpoint: EndpointRecord,
@@ -30,29 +31,8 @@
   job.waitingTaskCount -= 1;
   if (job.waitingTaskCount === 0) state.waiting.delete(job);
   addRun(endpoint, task);
-  const endpointId = endpoint.row.id;
-  const leaseEndMs = Math.floor(
-    computeEndpointClock(endpoint, nowMs) + state.limits.leaseMs,
-  );
-  endpoint.leaseEndMs = Math.max(endpoint.leaseEndMs, leaseEndMs);
-  const vms = [...job.vms];
-  state.effects.push({
-    type: "notifyPlaced",
-    vms,
-    task: task.name,
-    endpointId,
-  });
-  const { run } = task;
-  state.effects.push({ type: "startTask", endpointId, task, run, leaseEndMs });
-  recordEvent(state, "taskPlaced", {
-    task: task.name,
-    run,
-    endpoint: endpointId,
-    token: endpoint.token,
-    earlierRun,
-    waitedMs: Math.round(nowMs - job.arrivedMs),
-    usedCpu: endpoint.used.cpu,
-    slowness: Math.round(endpoint.slowness * 100) / 100,
-    heardAgoMs: Math.round(nowMs - endpoint.lastReplyMs),
-  });
+  // The scheduler may end before it learns whether the start crashes the endpoint.
+  if (job.order.isKept && hasLostRuns(task)) {
+    countStart(state, task, { earlierRun, nowMs });
+  } else requestStart(state, endpoint, { task, earlierRun, nowMs });
 }
--- a/src/scheduler/stop_stragglers.ts
+++ b/src/scheduler/stop_stragglers.ts
@@ -1,6 +1,7 @@
 import { isWorthMoving } from "../decide/is_worth_moving.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { hasLostRuns } from "./has_lost_runs.ts";
 import { isWanted } from "./is_wanted.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -27,6 +28,8 @@
   if (task.phase !== "running" || job.outcome || !isWanted(job)) {
     return false;
   }
+  // Each further start may crash an endpoint.
+  if (hasLostRuns(task)) return false;
   if (task.stoppedByMs > 0 || task.moveCount >= MAX_MOVES) return false;
   if (task.expectedEndMs <= job.objectiveMs) return false;
   const other = chooseEndpoint(state, task, nowMs);
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -2,6 +2,7 @@
 import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
 import type { JobOrder } from "./job_order.ts";
+import { isWatched } from "./is_watched.ts";
 import { hasUsedAttempts } from "./has_used_attempts.ts";
 import { recordJobChange } from "./record_job_change.ts";
 import { recordEvent } from "./record_event.ts";
@@ -66,7 +67,7 @@
   }
 }
 
-/** Sets the lost runs that an earlier scheduler has saved, less those whose endpoint has listed its runs since under the same process. */
+/** Sets the lost runs and doubtful starts that an earlier scheduler has saved, less the lost runs whose endpoint has listed its runs since under the same process. */
 function addLostRuns(
   state: SchedulerState,
   job: ScheduledJob,
@@ -83,6 +84,12 @@
     task.lostRuns.push({ ...lost, hasCrashed, lostMs: nowMs, ageMs: 0 });
     state.suspects.add(task);
   }
+  for (const { task: index, count } of progress.doubtfulStarts ?? []) {
+    const task = job.tasks[index];
+    if (!task) continue;
+    task.doubtfulStarts = count;
+    if (isWatched(task)) state.suspects.add(task);
+  }
 }
 
 /** Ends the job if all its tasks are done or a task has used up its attempts. */
--- a/src/stored_jobs/decode_progress.ts
+++ b/src/stored_jobs/decode_progress.ts
@@ -28,5 +28,14 @@
         task,
       }))
     ),
+    doubtfulStarts: decodeDoubtfulStarts(row.doubtfulStarts ?? [], taskCount),
   };
 }
+
+function decodeDoubtfulStarts(levels: string[], taskCount: number) {
+  const flags = levels.map((level) => decodeFlags(level, taskCount));
+  return Array.from({ length: taskCount }, (_, task) => ({
+    task,
+    count: flags.filter((hasStart) => hasStart[task]).length,
+  })).filter(({ count }) => count > 0);
+}
--- a/src/stored_jobs/encode_lost_runs.ts
+++ b/src/stored_jobs/encode_lost_runs.ts
@@ -4,7 +4,7 @@
 type LostRuns = NonNullable<JobProgressRow["lostRuns"]>;
 
 /** Most lost runs and endpoints together that a row has, so that it fits beside the other progress of a large job. */
-const MAX_ENTRIES = 200;
+const MAX_ENTRIES = 120;
 
 /** Encodes the lost runs of a job's tasks by endpoint, those of crashed endpoints first. */
 export function encodeLostRuns(tasks: ScheduledTask[]): LostRuns {
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -1,4 +1,5 @@
 import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
+import { encodeDoubtfulStarts } from "./encode_doubtful_starts.ts";
 import { encodeFlags } from "./encode_flags.ts";
 import { encodeLostRuns } from "./encode_lost_runs.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
@@ -14,9 +15,11 @@
     }
   });
   const lostRuns = encodeLostRuns(tasks);
+  const doubtfulStarts = encodeDoubtfulStarts(tasks);
   return {
     done: encodeFlags(tasks.map(({ phase }) => phase === "done")),
     failedRuns: [...failed].map(([run, flags]) => [run, encodeFlags(flags)]),
     ...(lostRuns.length > 0 && { lostRuns }),
+    ...(doubtfulStarts.length > 0 && { doubtfulStarts }),
   };
 }
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -20,4 +20,6 @@
     wasConfirmed: boolean,
     tasks: number[],
   ][];
+  /** Tasks with doubtful starts, as in `done`: those with one at least, then those with two at least, and so on. */
+  doubtfulStarts?: string[];
 };
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -15,6 +15,7 @@
 import { SCHEDULER_LIMITS } from "../fixtures/scheduler_limits.ts";
 import { takeEffects } from "../../src/scheduler/take_effects.ts";
 import { updateEndpoints } from "../../src/scheduler/update_endpoints.ts";
+import { FIRST_UNIX_MS } from "./first_unix_ms.ts";
 import type { FuzzEndpoint } from "./fuzz_endpoint.ts";
 
 /** Time between two steps of the scheduler's state machine. */
@@ -85,6 +86,7 @@
       areStoredJobsRead: solo !== undefined,
       knownEndpointIds: solo ? [] : world.endpoints.map(({ id }) => id),
     });
+    this.state.startedUnixMs = FIRST_UNIX_MS + world.readNow();
     // A scheduler starts right after its row was written, which makes its role exclusive as a heartbeat does.
     if (!solo) {
       this.state.roleExclusiveUntilMs = world.readNow() + ROLE_EXCLUSIVE_MS;
--- a/test/scheduler_fuzz/oracle.ts
+++ b/test/scheduler_fuzz/oracle.ts
@@ -16,6 +16,7 @@
   readonly violations: string[] = [];
   #isKept: (task: string) => boolean;
   #maxAttempts: number;
+  #isCrashing: (task: string) => boolean;
   #running = new Map<string, string>();
   #ends: ObservedEnd[] = [];
   #starts: { task: string; atMs: number }[] = [];
@@ -25,9 +26,12 @@
   constructor(options: {
     isKept: (task: string) => boolean;
     maxAttempts: number;
+    /** Whether the task crashes the endpoints that start it; one that only shared endpoints with such a task may start again as often as it has to. Default: no task does. */
+    isCrashing?: (task: string) => boolean;
   }) {
     this.#isKept = options.isKept;
     this.#maxAttempts = options.maxAttempts;
+    this.#isCrashing = options.isCrashing ?? (() => false);
   }
 
   recordStart(endpoint: string, task: string, nowMs: number): void {
@@ -116,6 +120,7 @@
     return [...this.#crashes].flatMap(([task, times]) => {
       const thirdMs = times[CRASHES - 1];
       if (thirdMs === undefined || !this.#isKept(task)) return [];
+      if (!this.#isCrashing(task)) return [];
       const starts = this.#starts.filter((start) =>
         start.task === task && start.atMs > thirdMs
       );
