Take jobs that fit the capacity that endpoints had before

What callers saw: while the capacity of all workers of a service has shrunk, jobs are refused with neverFits, and those that had started are failed as out of time, although the capacity grows again.

Cause: whether a job can ever fit is decided by the capacity that the rows show now, as if it were that of the machine for good.

Change: the scheduler and the VMs keep the largest capacity that they saw of an endpoint, and only what exceeds this never fits. Placement uses the present capacity, as before.

Why it works: what an endpoint had it may have again; a job that exceeds this is still refused at once.

The stand-in worker learns a capacity that changes, and to start what does not fit.

A scheduler that has begun since the capacity shrank does not know more, and refuses best-effort jobs that do not fit at present; they have not run and may come again.

--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -2,6 +2,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { EndpointRow } from "./endpoint_row.ts";
 import { hasHiddenEnds } from "./has_hidden_ends.ts";
+import { mergeLargestRoom } from "./merge_largest_room.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -54,7 +55,7 @@
   if (row.isDraining && !known.row.isDraining) {
     recordEvent(state, "endpointDraining", { endpoint: row.id });
   }
-  known.row = row;
+  known.row = mergeLargestRoom(row, known.row);
   known.hasAnnouncedEnd = row.isDraining;
 }
 
--- a/src/vm/create_endpoint_cache.ts
+++ b/src/vm/create_endpoint_cache.ts
@@ -1,4 +1,5 @@
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
+import { mergeLargestRoom } from "../scheduler/merge_largest_room.ts";
 import type { VmPorts } from "./vm_ports.ts";
 
 /** Interval at which the list is read, in ms: the list serves a VM that is cut off, for which this age is acceptable. */
@@ -9,14 +10,19 @@
 /** Creates a cache of the last list of endpoints that this VM could read, for the time when it reaches neither the store nor a scheduler. */
 export function createEndpointCache(
   ports: Pick<VmPorts, "readEndpoints">,
-): { read(): EndpointRow[]; stop(): void } {
+): {
+  read(): EndpointRow[];
+  stop(): void;
+} {
   let rows: EndpointRow[] = [];
   let timer: ReturnType<typeof setTimeout> | undefined;
   let isStopped = false;
 
   async function refresh(): Promise<void> {
     try {
-      rows = await ports.readEndpoints();
+      const earlier = new Map(rows.map((row) => [row.id, row]));
+      const latest = await ports.readEndpoints();
+      rows = latest.map((row) => mergeLargestRoom(row, earlier.get(row.id)));
     } catch {
       // The last list stays in use. The watch of the scheduler rows logs that the store does not answer.
     }
--- a/stand_ins/node/start_worker.ts
+++ b/stand_ins/node/start_worker.ts
@@ -23,6 +23,8 @@
   lateRefusalMs?: number;
   /** Every task fails. */
   failsAll: boolean;
+  /** Starts what does not fit as well. */
+  isUnguarded: boolean;
 };
 
 /** One start that was carried out. */
@@ -33,6 +35,8 @@
   endedMs?: number;
   /** How the run ended, as in its run end. */
   how?: string;
+  /** Whether the start exceeded the capacity. */
+  isOverCapacity: boolean;
 };
 
 /** `how` of a run end that a stop order caused. */
@@ -50,6 +54,8 @@
 }): Promise<{
   address: string;
   faults: Faults;
+  /** Changes the capacity, in thousandths of a core; what runs goes on. */
+  setCpu(cpu: number): void;
   /** Every start that was carried out, with times on the clock of this process. */
   history: StartRecord[];
   stop(): Promise<void>;
@@ -57,7 +63,12 @@
   const running = new Map<string, Run>();
   const highestRunIds = new Map<string, number>();
   const history: Awaited<ReturnType<typeof startWorker>>["history"] = [];
-  const faults: Faults = { isSilent: false, failsAll: false };
+  const faults: Faults = {
+    isSilent: false,
+    failsAll: false,
+    isUnguarded: false,
+  };
+  let { cpu } = options;
   const processStartMs = Date.now();
   let runEnds: RunEnd[] = [];
   let lastEndNumber = 0;
@@ -107,10 +118,11 @@
     if (runId <= (highestRunIds.get(task) ?? 0)) return refuse("old");
     renewLease(deadlineMs);
     // Every run is taken to use 6,800 millicores.
-    if ((running.size + 1) * 6_800 > options.cpu) return refuse("room");
+    const isOverCapacity = (running.size + 1) * 6_800 > cpu;
+    if (isOverCapacity && !faults.isUnguarded) return refuse("room");
     highestRunIds.set(task, runId);
     const beganMs = clockMs();
-    history.push({ task, run: runId, beganMs });
+    history.push({ task, run: runId, beganMs, isOverCapacity });
     const how = faults.failsAll ? "failed" : "done";
     const timer = setTimeout(() => endRun(task, how), options.runMs);
     running.set(task, { run: runId, beganMs, timer });
@@ -188,6 +200,9 @@
   return {
     address: server.address,
     faults,
+    setCpu: (to) => {
+      cpu = to;
+    },
     history,
     stop: () => {
       clearInterval(leaseTimer);
--- /dev/null
+++ b/test/scheduler/changing_rooms_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import {
+  createSchedulerDriver,
+  createStep,
+} from "../fixtures/create_scheduler_driver.ts";
+
+const SMALL_ROOM = { cpu: 1_000, memoryMb: 64_000, gpus: 0 };
+const FULL_ROOM = { cpu: 16_000, memoryMb: 64_000, gpus: 0 };
+
+describe("endpoints whose capacity shrinks and grows", () => {
+  test("nothing starts at an endpoint that has shrunk below what it runs, until runs end or it grows", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", steps: [createStep(4)], stretch: 30 });
+    assert.equal(driver.starts.length, 2);
+
+    driver.updateRow("e1", { room: { ...FULL_ROOM, cpu: 7_000 } });
+    driver.end(driver.starts[0], "done", 1);
+    driver.advanceTo(20);
+    assert.equal(driver.starts.length, 2);
+
+    driver.updateRow("e1", { room: FULL_ROOM });
+    assert.equal(driver.starts.length, 3);
+  });
+
+  // A job that waited for capacity was failed as out of time, one that had not started was refused as never fitting.
+  test("a job that fits no endpoint at present waits if it fitted before", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.updateRow("e1", { room: SMALL_ROOM });
+    driver.submit({ id: "j", stretch: 30 });
+    driver.advanceTo(100);
+    assert.equal(driver.outcomes.get("j"), undefined);
+
+    driver.updateRow("e1", { room: FULL_ROOM });
+    assert.equal(driver.starts.length, 1);
+  });
+
+  test("a job that never fitted an endpoint is refused at once", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.updateRow("e1", { room: SMALL_ROOM });
+    driver.submit({
+      id: "j",
+      steps: [createStep(1, { room: { ...FULL_ROOM, cpu: 17_000 } })],
+    });
+
+    const outcome = driver.outcomes.get("j");
+    assert.equal(outcome?.type === "refused" && outcome.reason, "neverFits");
+  });
+});
