Ask endpoints that reject starts for want of capacity ever more seldom

What callers saw: nothing but later starts; the price is that of rejected starts and of the tasks that wait for their answers.

Cause: a worker that guards its capacity rejects starts as soon as that shrinks, some time before its row shows it. The scheduler went on sending one every 0.1 s.

Change: the backoff doubles with each rejection for want of capacity in a row, to 1.6 s; an accepted start ends the series.

Why it works: the next row shows the capacity by then.

--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -12,6 +12,8 @@
 
 /** Backoff of an endpoint that rejected a start, in ms; its next listing, which shows what runs there, arrives by then. */
 const REJECTION_BACKOFF_MS = 100;
+/** Longest backoff of an endpoint that rejected starts for want of capacity, in ms: its next row in the list shows its capacity by then. */
+const MAX_ROOM_BACKOFF_MS = 1_600;
 /** Added to a run number that an endpoint rejected as too low; exceeds what the tokens of several schedulers add. */
 const REJECTED_RUN_STEP = 100_000;
 
@@ -33,6 +35,7 @@
   const { reply, nowMs } = received;
   // The frequent reply, decided without the cost of matching patterns.
   if (reply.type === "accepted") {
+    endpoint.roomRejections = 0;
     if (task.phase === "starting") task.phase = "running";
     confirmStart(endpoint, task, { nowMs, clockMs: reply.clockMs });
     if (task.job.outcome) stopRun(state, endpoint, task);
@@ -43,7 +46,7 @@
       dropRun(endpoint, task);
       endpoint.backoffUntilMs = Math.max(
         endpoint.backoffUntilMs,
-        nowMs + REJECTION_BACKOFF_MS,
+        nowMs + computeRejectionBackoff(endpoint, reason),
       );
       if (reason === "olderRun") task.run += REJECTED_RUN_STEP;
       if (reason === "unhealthy") recordFailure(state, endpoint, { nowMs });
@@ -63,6 +66,17 @@
     .exhaustive();
 }
 
+/** Computes the backoff after a rejection, in ms; longer after each further one for want of capacity, as the list of endpoints may not show yet that the capacity has shrunk. */
+function computeRejectionBackoff(
+  endpoint: EndpointRecord,
+  reason: Extract<StartReply, { type: "rejected" }>["reason"],
+): number {
+  if (reason !== "noRoom") return REJECTION_BACKOFF_MS;
+  const backoffMs = REJECTION_BACKOFF_MS * 2 ** endpoint.roomRejections;
+  endpoint.roomRejections += 1;
+  return Math.min(backoffMs, MAX_ROOM_BACKOFF_MS);
+}
+
 function stopRun(
   state: SchedulerState,
   endpoint: EndpointRecord,
--- a/src/scheduler/endpoint_record.ts
+++ b/src/scheduler/endpoint_record.ts
@@ -42,6 +42,8 @@
   slownessSamples: number;
   /** Failed runs and starts rejected as unhealthy since the last successful run. */
   consecutiveFailures: number;
+  /** Starts in a row that the endpoint rejected for want of capacity. */
+  roomRejections: number;
   /** End of the backoff, in ms; nothing is started here before it. */
   backoffUntilMs: number;
 };
--- a/src/scheduler/update_endpoints.ts
+++ b/src/scheduler/update_endpoints.ts
@@ -83,6 +83,7 @@
     slowness: 1,
     slownessSamples: 0,
     consecutiveFailures: 0,
+    roomRejections: 0,
     backoffUntilMs: 0,
   };
 }
--- a/test/scheduler/changing_rooms_test.ts
+++ b/test/scheduler/changing_rooms_test.ts
@@ -49,4 +49,21 @@
     const outcome = driver.outcomes.get("j");
     assert.equal(outcome?.type === "refused" && outcome.reason, "neverFits");
   });
+
+  // Starts were sent to a shrunk endpoint every 0.1 s until its row was read, each rejected for want of capacity.
+  test("an endpoint that goes on rejecting starts for want of capacity is asked ever more seldom", () => {
+    const driver = createSchedulerDriver();
+    driver.addIdleEndpoint("e1");
+    driver.submit({ id: "j", stretch: 30 });
+    for (let atMs = 20; atMs <= 2_000; atMs += 20) {
+      const last = driver.starts.at(-1);
+      if (last && last.task.phase === "starting") {
+        driver.reply(last, { type: "rejected", reason: "noRoom" });
+      }
+      driver.list("e1", { sentMs: atMs, receivedMs: atMs, clockMs: atMs });
+      driver.advanceTo(atMs);
+    }
+
+    assert.ok(driver.starts.length <= 6, `${driver.starts.length} starts`);
+  });
 });
