Start a suspect only where it still fits the endpoint emptied for it

What callers saw: a worker that does not guard its capacity could be brought over it (LIMIT); one that does rejects the start.

Cause: an endpoint is chosen for a suspect while its runs go on. Its capacity may shrink before they have ended, and was not looked at again.

Evidence: "a suspect does not start at the endpoint that was emptied for it while that has shrunk" gave 3 !== 2 starts before.

Change: the capacity is checked at the start too.

Why it works: all starts of suspects go through this place.

Result: scheduler, changing_rooms and style tests pass.

--- a/src/scheduler/compute_placement_cost.ts
+++ b/src/scheduler/compute_placement_cost.ts
@@ -1,3 +1,4 @@
+import { computeUtilisation } from "./compute_utilisation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -18,7 +19,7 @@
   const factor = isRemote ? state.limits.remoteFactor : 1;
   const failures =
     task.failedEndpointIds.filter((id) => id === endpoint.row.id).length;
-  const utilisation = endpoint.used.cpu / endpoint.row.room.cpu;
+  const utilisation = computeUtilisation(endpoint);
   return endpoint.slowness * factor + failures * FAILED_RUN_COST -
     utilisation * UTILISATION_GAIN;
 }
--- a/src/scheduler/place_suspects.ts
+++ b/src/scheduler/place_suspects.ts
@@ -1,6 +1,7 @@
 import { canHostTask } from "./can_host_task.ts";
 import { canRestart } from "./can_restart.ts";
 import { computePlacementCost } from "./compute_placement_cost.ts";
+import { computeUtilisation } from "./compute_utilisation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { isSuspect } from "./is_suspect.ts";
 import { isWanted } from "./is_wanted.ts";
@@ -29,6 +30,7 @@
   for (const task of ready) {
     const endpoint = findOrChooseEndpoint(state, task, nowMs);
     if (!endpoint || endpoint.runs.size > 0) continue;
+    if (!canFitAlone(endpoint, task)) continue;
     if (!canHostTask(state, endpoint, { task, nowMs })) continue;
     startTask(state, endpoint, { task, nowMs });
   }
@@ -108,6 +110,5 @@
 ): number {
   const cost = computePlacementCost(state, endpoint, task);
   if (endpoint.runs.size === 0) return cost;
-  const { used, row } = endpoint;
-  return cost + OCCUPIED_COST * (1 + used.cpu / row.room.cpu);
+  return cost + OCCUPIED_COST * (1 + computeUtilisation(endpoint));
 }
