Read the list of endpoints again while a VM is in solo mode

Cause: solo mode places tasks by the VM's cached list, which is read every 3 s for each 100 endpoints: every 10 s with 350.

Change: in solo mode a list that is older than 1.5 s is read again, while the last one stays in use. Outside of solo mode the interval is as before.

Why it works: a capacity counts 3 s and one beat after it has shrunk, and a row shows it after one beat.

What remains: a VM that reaches neither store nor scheduler can't know of the change, as listings do not name the capacity.

--- a/src/vm/create_endpoint_cache.ts
+++ b/src/vm/create_endpoint_cache.ts
@@ -1,5 +1,6 @@
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
 import { mergeLargestRoom } from "../scheduler/merge_largest_room.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import type { VmPorts } from "./vm_ports.ts";
 
 /** Interval at which the list is read, in ms: the list serves a VM that is cut off, for which this age is acceptable. */
@@ -11,14 +12,21 @@
 export function createEndpointCache(
   ports: Pick<VmPorts, "readEndpoints">,
 ): {
-  read(): EndpointRow[];
+  /** Returns the last list. One that is older than `maxAgeMs` is read again meanwhile, if the store can be reached; default: at the usual interval. */
+  read(maxAgeMs?: number): EndpointRow[];
   stop(): void;
 } {
   let rows: EndpointRow[] = [];
   let timer: ReturnType<typeof setTimeout> | undefined;
+  let askedMs = 0;
+  let isReading = false;
   let isStopped = false;
 
   async function refresh(): Promise<void> {
+    if (isReading) return;
+    isReading = true;
+    clearTimeout(timer);
+    askedMs = readMonotonicMs();
     try {
       const earlier = new Map(rows.map((row) => [row.id, row]));
       const latest = await ports.readEndpoints();
@@ -26,13 +34,17 @@
     } catch {
       // The last list stays in use. The watch of the scheduler rows logs that the store does not answer.
     }
+    isReading = false;
     if (isStopped) return;
     const factor = Math.max(1, rows.length / ENDPOINTS_PER_INTERVAL);
     timer = setTimeout(refresh, READ_INTERVAL_MS * factor);
   }
   refresh();
   return {
-    read: () => rows,
+    read: (maxAgeMs = Infinity) => {
+      if (!isStopped && readMonotonicMs() - askedMs > maxAgeMs) refresh();
+      return rows;
+    },
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -37,6 +37,8 @@
 
 /** Interval at which a draining VM checks whether all callers have been answered, in ms. */
 const DRAIN_POLL_INTERVAL_MS = 20;
+/** Age at which the list of endpoints is read again in solo mode, in ms: below the time in which a worker that has lost capacity must get no more than it has left. */
+const SOLO_LIST_AGE_MS = 1_500;
 /** A VM without a scheduler for this long is not ready for new connections, in ms: the time that a takeover may take. */
 const UNREADY_AFTER_MS = 1_500;
 
@@ -175,7 +177,11 @@
           ports: {
             ...ports,
             readEndpoints: soloPeers
-              ? () => readEndpointShare(endpointCache.read(), soloPeers)
+              ? () =>
+                readEndpointShare(
+                  endpointCache.read(SOLO_LIST_AGE_MS),
+                  soloPeers,
+                )
               : async () => selectRows(await ports.readEndpoints()),
           },
           log,
