Start suspects at idle endpoints while the service is not busy

What callers saw: stored jobs whose task had crashed one endpoint stayed queued for half a minute and more with most endpoints idle (LOST).

Cause: all suspects of a service shared a tenth of its usable endpoints, busy or idle, at some two starts a second.

Change: a tenth is the limit for endpoints that have to be emptied. Idle ones are used until, with those that do not answer, half of the service's endpoints are isolated or away.

Why it works: half of the endpoints carry the load of a service that has idle ones, also while suspects crash the others.

--- a/src/scheduler/place_suspects.ts
+++ b/src/scheduler/place_suspects.ts
@@ -10,8 +10,10 @@
 import type { SchedulerState } from "./scheduler_state.ts";
 import { startTask } from "./start_task.ts";
 
-/** Largest part of a service's usable endpoints that suspects may have at a time; at least one endpoint. */
-const MAX_ISOLATED_PART = 0.1;
+/** Largest part of a service's usable endpoints that are emptied for suspects at a time; at least one endpoint. */
+const MAX_EMPTIED_PART = 0.1;
+/** Largest part of a service's endpoints that suspects have or that do not answer, if the next suspect gets an idle one; the rest carries the load of the idle ones. */
+const MAX_IDLE_PART = 0.5;
 /** Cost, as slowness, of an endpoint whose runs have to end first, and of one that they fill; higher than that of any slowness. */
 const OCCUPIED_COST = 1_000;
 
@@ -19,7 +21,8 @@
  * Starts the suspects, each at an endpoint that runs nothing else, so that a
  * crash proves the cause and takes no other run along. Where no endpoint is
  * idle, one is kept free of new runs until its runs have ended. A job has one
- * suspect running at a time, and all suspects have a part of the endpoints.
+ * suspect running at a time, and all suspects together a part of the endpoints:
+ * a small one while the service is busy.
  */
 export function placeSuspects(state: SchedulerState, nowMs: number): void {
   if (state.suspects.size === 0) return;
@@ -64,8 +67,7 @@
   nowMs: number,
 ): EndpointRecord | undefined {
   const { job } = task;
-  let usableCount = 0;
-  let isolatedCount = 0;
+  const counts = { all: 0, usable: 0, isolated: 0 };
   let best: EndpointRecord | undefined;
   let bestCost = Infinity;
   for (const endpoint of state.endpoints.values()) {
@@ -74,9 +76,10 @@
     const { isolatedTask } = endpoint;
     if (isolatedTask === task) return endpoint;
     if (isolatedTask?.job === job) return undefined;
-    if (endpoint.phase === "usable") usableCount += 1;
+    counts.all += 1;
+    if (endpoint.phase === "usable") counts.usable += 1;
     if (isolatedTask) {
-      isolatedCount += 1;
+      counts.isolated += 1;
       continue;
     }
     if (!canFitAlone(endpoint, task)) continue;
@@ -86,13 +89,20 @@
     best = endpoint;
     bestCost = cost;
   }
-  if (!best || isolatedCount >= computeLimit(usableCount)) return undefined;
+  if (!best || !canIsolate(best, counts)) return undefined;
   best.isolatedTask = task;
   return best;
 }
 
-function computeLimit(usableCount: number): number {
-  return Math.max(1, Math.floor(usableCount * MAX_ISOLATED_PART));
+/** Whether another suspect may have the endpoint, beside the isolated ones of the service's endpoints. */
+function canIsolate(
+  endpoint: EndpointRecord,
+  counts: { all: number; usable: number; isolated: number },
+): boolean {
+  const { all, usable, isolated } = counts;
+  if (isolated === 0) return true;
+  if (endpoint.runs.size > 0) return isolated < usable * MAX_EMPTIED_PART;
+  return isolated + all - usable < all * MAX_IDLE_PART;
 }
 
 /** Whether the task fits the endpoint once nothing else runs there. */
--- a/test/scheduler/crashing_tasks_test.ts
+++ b/test/scheduler/crashing_tasks_test.ts
@@ -329,4 +329,22 @@
       [endpoint.isolatedTask?.name],
     );
   });
+
+  // Tasks that had crashed an endpoint waited for half a minute for their
+  // second start while most endpoints were idle.
+  test("suspects start at idle endpoints, until with those that are away they have half of all", () => {
+    const world = createWorld({ endpoints: 12 });
+    const { driver } = world;
+    const jobs = ["j", "k", "l", "m", "n", "o"];
+    for (const id of jobs) driver.submitStored({ id });
+    const lost = new Set(driver.starts.map(({ endpointId }) => endpointId));
+    assert.equal(lost.size, 3);
+    for (const id of lost) world.crash(id);
+    world.pass(LAPSE_MS);
+    world.save();
+
+    const restarts = driver.starts.slice(jobs.length);
+    assert.equal(restarts.length, 3);
+    assert.equal(new Set(restarts.map(({ endpointId }) => endpointId)).size, 3);
+  });
 });
