--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -81,7 +81,8 @@
   // Runs that were lost with their endpoints
   runLost: ["task", "run", "endpoint", "how", "ageMs", "others", "losses"],
   lossSettled: ["task", "endpoint", "hasCrashed", "losses"],
-  taskGivenUp: ["task", "crashes", "endpoints"],
+  startsInDoubt: ["tasks"],
+  taskGivenUp: ["task", "crashes", "doubts", "endpoints"],
   // Endpoints, as the scheduler sees them
   endpointAdded: ["endpoint", "address", "dataCentre", "cpu"],
   endpointListed: ["endpoint", "wasPhase", "running"],
--- /dev/null
+++ b/src/scheduler/count_held_start.ts
@@ -0,0 +1,21 @@
+import { hasLostRuns } from "./has_lost_runs.ts";
+import { recordLossChange } from "./record_loss_change.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/**
+ * Counts the start of a held task by an earlier scheduler as doubtful, once a
+ * hold, and returns whether it did. A task with lost runs or doubtful starts
+ * has its starts counted already.
+ */
+export function countHeldStart(
+  state: SchedulerState,
+  task: ScheduledTask,
+): boolean {
+  if (!task.job.order.isKept || task.isHoldCounted) return false;
+  task.isHoldCounted = true;
+  if (hasLostRuns(task)) return false;
+  task.doubtfulStarts = 1;
+  recordLossChange(state, task.job);
+  return true;
+}
--- a/src/scheduler/describe_gauges.ts
+++ b/src/scheduler/describe_gauges.ts
@@ -15,6 +15,8 @@
     scheduler_jobs: state.jobs.size,
     scheduler_waiting_jobs: state.waiting.size,
     scheduler_unsaved_jobs: state.unsaved.size,
+    endpoints_isolated: endpoints
+      .filter(({ isolatedTask }) => isolatedTask).length,
     scheduler_suspect_tasks: state.suspects.size,
     scheduler_running_tasks: endpoints
       .reduce((sum, { runs }) => sum + runs.size, 0),
--- a/src/scheduler/end_crashing_jobs.ts
+++ b/src/scheduler/end_crashing_jobs.ts
@@ -7,7 +7,7 @@
 /** Ends the jobs of tasks that have crashed too many endpoints, and forgets the suspects that have ended. */
 export function endCrashingJobs(state: SchedulerState, nowMs: number): void {
   for (const task of state.suspects) {
-    const { job, phase, lostRuns } = task;
+    const { job, phase, lostRuns, doubtfulStarts } = task;
     if (job.outcome || phase === "done") {
       state.suspects.delete(task);
       continue;
@@ -17,6 +17,7 @@
     recordEvent(state, "taskGivenUp", {
       task: task.name,
       crashes: countCrashes(task, nowMs).all,
+      doubts: doubtfulStarts,
       endpoints: lostRuns.map(({ endpointId }) => endpointId).join(" "),
     });
     const outcome = { type: "failed", reason: "endpointsCrashed" } as const;
--- a/src/scheduler/release_held_tasks.ts
+++ b/src/scheduler/release_held_tasks.ts
@@ -1,6 +1,7 @@
-import { hasLostRuns } from "./has_lost_runs.ts";
-import { recordLossChange } from "./record_loss_change.ts";
+import { countHeldStart } from "./count_held_start.ts";
+import { forgetHeldStart } from "./forget_held_start.ts";
 import { hasHiddenEnds } from "./has_hidden_ends.ts";
+import { recordEvent } from "./record_event.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -27,6 +28,7 @@
   const mayHideEnds = endpoints.some((one) => hasHiddenEnds(state, one));
   const oldestMs = findOldestListing(state);
   const youngestMs = findYoungestProcess(state);
+  let doubts = 0;
   for (const job of state.waiting) {
     const isAnyYounger = youngestMs >
       computeAcceptedUnixMs(state, job) - MAX_CLOCK_ERROR_MS;
@@ -34,7 +36,7 @@
       if (task.heldUntilMs === 0) continue;
       const hasTrace = isAnyYounger ||
         nowMs > task.heldUntilMs - CRASH_TRACE_MS;
-      if (hasTrace) countHeldStart(state, task);
+      if (hasTrace && countHeldStart(state, task)) doubts += 1;
       // A hidden end may be that of the task.
       if (mayHideEnds && job.order.isKept) continue;
       const isTimedOut = nowMs > task.heldUntilMs;
@@ -44,6 +46,7 @@
       if (!hasTrace) forgetHeldStart(state, task);
     }
   }
+  if (doubts > 0) recordEvent(state, "startsInDoubt", { tasks: doubts });
 }
 
 /** Finds when the youngest of all endpoints' processes began, as a Unix time in ms. */
@@ -63,22 +66,6 @@
   return startedUnixMs + arrivedMs - startedMs;
 }
 
-/** Counts a start by the earlier scheduler as doubtful, as an endpoint may have crashed since: one whose process is younger than the job, or that has not listed its runs for long. A task with lost runs or doubtful starts has its starts counted ahead. */
-function countHeldStart(state: SchedulerState, task: ScheduledTask): void {
-  if (!task.job.order.isKept || task.isHoldCounted) return;
-  task.isHoldCounted = true;
-  if (hasLostRuns(task)) return;
-  task.doubtfulStarts = 1;
-  recordLossChange(state, task.job);
-}
-
-/** Takes back the earlier scheduler's last counted start, as no endpoint has crashed since. */
-function forgetHeldStart(state: SchedulerState, task: ScheduledTask): void {
-  if (task.doubtfulStarts === 0) return;
-  task.doubtfulStarts -= 1;
-  recordLossChange(state, task.job);
-}
-
 /** Finds when the oldest of all endpoints' latest listings was requested, in ms. */
 function findOldestListing(state: SchedulerState): number {
   let oldestMs = Infinity;
--- a/test/scheduler/logged_decisions_test.ts
+++ b/test/scheduler/logged_decisions_test.ts
@@ -6,6 +6,7 @@
 import { dropVm } from "../../src/scheduler/drop_vm.ts";
 import { reclaimEndpoints } from "../../src/scheduler/reclaim_endpoints.ts";
 import { createSchedulerDriver } from "../fixtures/create_scheduler_driver.ts";
+import type { Start } from "../fixtures/create_scheduler_driver.ts";
 import { SCHEDULER_LIMITS } from "../fixtures/scheduler_limits.ts";
 
 type Driver = ReturnType<typeof createSchedulerDriver>;
@@ -74,6 +75,19 @@
     driver.dropRow("e2");
   },
   runLost: (driver) => driver.setUnresponsive("e1"),
+  taskGivenUp: (driver) => {
+    for (const id of ["e1", "e2"]) {
+      if (id === "e2") driver.addIdleEndpoint(id);
+      driver.reply(driver.starts.at(-1) as Start, { type: "accepted" });
+      driver.setUnresponsive(id, "broken");
+      driver.advanceTo(id === "e1" ? 1_300 : 2_700);
+    }
+  },
+  startsInDoubt: (driver) => {
+    driver.addEndpoint("e2");
+    driver.submitStored({ id: "k" }, { mayHaveRun: true });
+    driver.advanceTo(2_000);
+  },
   lossSettled: (driver) => {
     driver.setUnresponsive("e1");
     driver.list("e1");
