--- /dev/null
+++ b/src/scheduler/index_isolated_endpoints.ts
@@ -0,0 +1,22 @@
+import type { IsolatedEndpoints } from "./isolated_endpoints.ts";
+import type { SchedulerState } from "./scheduler_state.ts";
+
+/** Finds the isolated endpoints and counts all endpoints of each service. */
+export function indexIsolatedEndpoints(
+  state: SchedulerState,
+): IsolatedEndpoints {
+  const byTask: IsolatedEndpoints["byTask"] = new Map();
+  const counts: IsolatedEndpoints["counts"] = new Map();
+  for (const endpoint of state.endpoints.values()) {
+    const { row, phase, isolatedTask } = endpoint;
+    const count = counts.get(row.service) ?? { all: 0, usable: 0, isolated: 0 };
+    counts.set(row.service, count);
+    count.all += 1;
+    if (isolatedTask) byTask.set(isolatedTask, endpoint);
+    if (phase !== "usable") continue;
+    count.usable += 1;
+    if (isolatedTask) count.isolated += 1;
+  }
+  const jobs = new Set([...byTask.keys()].map(({ job }) => job));
+  return { byTask, jobs, counts, exhausted: new Set() };
+}
--- /dev/null
+++ b/src/scheduler/isolated_endpoints.ts
@@ -0,0 +1,14 @@
+import type { EndpointRecord } from "./endpoint_record.ts";
+import type { ScheduledJob } from "./scheduled_job.ts";
+import type { ScheduledTask } from "./scheduled_task.ts";
+
+/** The isolated endpoints, and how many endpoints each service has. */
+export type IsolatedEndpoints = {
+  byTask: Map<ScheduledTask, EndpointRecord>;
+  /** Jobs with a task that has an isolated endpoint. */
+  jobs: Set<ScheduledJob>;
+  /** By service: all endpoints, usable ones, and usable ones that are isolated. */
+  counts: Map<string, { all: number; usable: number; isolated: number }>;
+  /** Services that have no further endpoint for a suspect now. */
+  exhausted: Set<string>;
+};
--- a/src/scheduler/place_tasks.ts
+++ b/src/scheduler/place_tasks.ts
@@ -7,11 +7,11 @@
 import { computeServiceCapacity } from "./compute_service_capacity.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
-import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import { startTask } from "./start_task.ts";
 import { placeSuspects } from "./place_suspects.ts";
 import { canRestart } from "./can_restart.ts";
+import { hasForeignRun } from "./has_foreign_run.ts";
 import { hasLostRuns } from "./has_lost_runs.ts";
 import { isSuspect } from "./is_suspect.ts";
 
@@ -98,14 +98,3 @@
   }
   return false;
 }
-
-/** Whether an endpoint lists a foreign run of the task. */
-function hasForeignRun(
-  state: SchedulerState,
-  { name }: ScheduledTask,
-): boolean {
-  for (const { foreignRuns } of state.endpoints.values()) {
-    if (foreignRuns.has(name)) return true;
-  }
-  return false;
-}
