Count jobs as pending whose starts are only in doubt

Their state read running.

Doubtful starts are saved with the progress of a job, and a progress row meant that a task of the job had started.

Evidence: "a job of which starts are only in doubt counts as pending under a later scheduler" gave {} instead of { proofs: 1 } before.

Change: the row says so if no task is known to have started; such a job is pending, and queued when its state is read.

Why it works: rows without the mark, those of earlier versions among them, mean what they meant.

--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -37,6 +37,7 @@
   task.progress = 0;
   task.expectedEndMs = 0;
   task.job.mayHaveStarted = true;
+  task.job.hasKnownStart = true;
   addRun(endpoint, task);
   // The start of the run is among the doubtful ones, if there are any.
   if (task.doubtfulStarts > 0) task.isStartCounted = true;
--- a/src/scheduler/start_task.ts
+++ b/src/scheduler/start_task.ts
@@ -3,7 +3,6 @@
 import { countStart } from "./count_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { hasLostRuns } from "./has_lost_runs.ts";
-import { recordJobChange } from "./record_job_change.ts";
 import { requestStart } from "./request_start.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -25,9 +24,7 @@
   task.stoppedByMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
-  if (!job.mayHaveStarted) recordJobChange(state, job);
   job.mayHaveStarted = true;
-  job.hasKnownStart = true;
   job.waitingTaskCount -= 1;
   if (job.waitingTaskCount === 0) state.waiting.delete(job);
   addRun(endpoint, task);
--- a/src/scheduler/stored_progress.ts
+++ b/src/scheduler/stored_progress.ts
@@ -8,6 +8,8 @@
   failedRuns: { task: number; run: number }[];
   /** Runs that were lost with their endpoints, with the task's position in the job. Default: none. */
   lostRuns?: (Omit<LostRun, "lostMs" | "ageMs"> & { task: number })[];
+  /** Whether no task is known to have started. Default: false. */
+  isUnstarted?: boolean;
   /** Number of doubtful starts of each task that has any, with the task's position in the job. Default: none. */
   doubtfulStarts?: { task: number; count: number }[];
 };
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -54,7 +54,7 @@
   const hasRun = job.tasks.some(({ phase }) => phase !== "blocked");
   if (hasRun && !progress) recordJobChange(state, job);
   job.mayHaveStarted = hasRun || progress !== undefined;
-  job.hasKnownStart ||= progress !== undefined;
+  job.hasKnownStart ||= progress !== undefined && !progress.isUnstarted;
   releaseBlockedTasks(state, job);
   endIfFinished(state, job, nowMs);
 }
--- a/src/stored_jobs/decode_progress.ts
+++ b/src/stored_jobs/decode_progress.ts
@@ -28,6 +28,7 @@
         task,
       }))
     ),
+    isUnstarted: row.isUnstarted === true,
     doubtfulStarts: decodeDoubtfulStarts(row.doubtfulStarts ?? [], taskCount),
   };
 }
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -5,7 +5,8 @@
 import type { JobProgressRow } from "./job_progress_row.ts";
 
 /** Encodes the progress that a later scheduler needs of a job that has not ended. */
-export function encodeProgress({ tasks }: ScheduledJob): JobProgressRow {
+export function encodeProgress(job: ScheduledJob): JobProgressRow {
+  const { tasks } = job;
   const failed = new Map<number, boolean[]>();
   tasks.forEach(({ failedRuns }, index) => {
     for (const run of failedRuns) {
@@ -21,5 +22,13 @@
     failedRuns: [...failed].map(([run, flags]) => [run, encodeFlags(flags)]),
     ...(lostRuns.length > 0 && { lostRuns }),
     ...(doubtfulStarts.length > 0 && { doubtfulStarts }),
+    ...(!hasStarted(job) && { isUnstarted: true }),
   };
 }
+
+function hasStarted({ hasKnownStart, tasks }: ScheduledJob): boolean {
+  return hasKnownStart ||
+    tasks.some(({ phase, failedRuns, lostRuns }) =>
+      phase === "done" || failedRuns.length > 0 || lostRuns.length > 0
+    );
+}
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -20,6 +20,8 @@
     wasConfirmed: boolean,
     tasks: number[],
   ][];
+  /** Present if no task is known to have started: the row has doubtful starts only. */
+  isUnstarted?: true;
   /** Tasks with doubtful starts, as in `done`: those with one at least, then those with two at least, and so on. */
   doubtfulStarts?: string[];
 };
--- a/src/stored_jobs/read_stored_job_state.ts
+++ b/src/stored_jobs/read_stored_job_state.ts
@@ -1,6 +1,7 @@
 import type { Table } from "../store/table.ts";
 import type { EndRecord } from "./end_record.ts";
 import type { StoredJobState } from "./stored_job_state.ts";
+import type { JobProgressRow } from "./job_progress_row.ts";
 import { readStoredRow } from "./read_stored_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
@@ -14,7 +15,8 @@
   if (keys.includes(STORED_JOB_KEYS.formatJob(id))) {
     if (keys.includes(STORED_JOB_KEYS.formatCancel(id))) return "cancelled";
     const progress = await table.scan(STORED_JOB_KEYS.formatProgress(id), 0);
-    return progress.rows.length > 0 ? "running" : "queued";
+    const row = progress.rows[0]?.value as JobProgressRow | undefined;
+    return row && !row.isUnstarted ? "running" : "queued";
   }
   // Must be read after the job's row: one transaction deletes that row and
   // writes the end record, so that the other order could miss both.
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -3,6 +3,8 @@
 import { countPending } from "../../src/scheduler/count_pending.ts";
 import { canHaveStoredJobs } from "../../src/scheduler/can_have_stored_jobs.ts";
 import { isStoredJobRun } from "../../src/scheduler/is_stored_job_run.ts";
+import { decodeProgress } from "../../src/stored_jobs/decode_progress.ts";
+import { encodeProgress } from "../../src/stored_jobs/encode_progress.ts";
 import { dropVm } from "../../src/scheduler/drop_vm.ts";
 import {
   createSchedulerDriver,
@@ -337,6 +339,33 @@
     assert.equal(driver.starts.length, 2);
   });
 
+  // Doubtful starts are saved with the progress, whose row meant that the job had started.
+  test("a job of which starts are only in doubt counts as pending under a later scheduler", () => {
+    const earlier = createSchedulerDriver({ token: 200 });
+    earlier.addIdleEndpoint("e1");
+    earlier.addEndpoint("e2");
+    earlier.submitStored({ id: "j" }, { mayHaveRun: true });
+    earlier.advanceTo(2_000);
+    const job = earlier.state.jobs.get("j");
+    assert.ok(job && earlier.state.unsaved.has(job));
+
+    const later = createSchedulerDriver({ token: 300 });
+    later.addEndpoint("e1");
+    const row = encodeProgress(job);
+    const progress = decodeProgress(row, job.order);
+    later.submitStored({ id: "j" }, { mayHaveRun: true, progress });
+    assert.deepEqual(countPending(later.state), { proofs: 1 });
+
+    later.list("e1");
+    later.advanceTo(20);
+    later.confirmSaved();
+    later.advanceTo(40);
+    assert.equal(later.starts.length, 1);
+    assert.deepEqual(countPending(later.state), {});
+    const { isUnstarted } = encodeProgress(later.starts[0].task.job);
+    assert.equal(isUnstarted, undefined);
+  });
+
   test("jobs of an earlier scheduler count as pending unless a task is known to have started", () => {
     const driver = createSchedulerDriver({ token: 200 });
     driver.addEndpoint("e1");
--- a/test/stored_jobs/progress_test.ts
+++ b/test/stored_jobs/progress_test.ts
@@ -46,6 +46,7 @@
     done: [true, false],
     failedRuns: [],
     lostRuns: [],
+    isUnstarted: false,
     doubtfulStarts: [],
   });
 });
