--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -10,11 +10,11 @@
 /** Most minions that one cut takes: 8 of 48, less than the share of 0.17 in the site file. */
 const CUT = 8;
 /** Length of the first cut in each round, in ms; for_s is 5.5 in the site file. */
-const FIRST_CUT_MS = [1_350, 1_400, 1_450, 1_500, 1_550, 1_600, 1_450, 1_500];
+const FIRST_CUT_MS = [1_350, 1_450, 1_500, 1_350, 1_450, 1_500, 1_400, 1_450];
 const SECOND_CUT_AFTER_MS = 1_300;
 const SECOND_CUT_MS = 2_500;
 /** No round begins later than this, so that the script ends in time. */
-const LAST_ROUND_MS = 70_000;
+const LAST_ROUND_MS = 75_000;
 
 /** With TROUBLE=0 the case does the same without the disruption. */
 const hasTrouble = process.env.TROUBLE !== "0";
@@ -80,8 +80,8 @@
             prefix: PREFIX,
             steps: [
               { count: 4, workMs: 1_000, ...common },
-              { count: 1, workMs: 2_000, after: [0], ...common },
-              { count: 1, workMs: 4_000, after: [0], ...common },
+              { count: 1, workMs: 1_500, after: [0], ...common },
+              { count: 1, workMs: 3_000, after: [0], ...common },
             ],
           });
           if (status !== 200) throw new Error("the job was not accepted");
@@ -96,7 +96,7 @@
             await wait(SECOND_CUT_AFTER_MS);
             cut(idle.slice(0, CUT), SECOND_CUT_MS);
           }
-          const untilMs = record.readMs() + 20_000;
+          const untilMs = record.readMs() + 12_000;
           let state;
           while (state !== "completed" && record.readMs() < untilMs) {
             await wait(100);
@@ -107,7 +107,7 @@
             state = reply.body?.state;
           }
           if (state !== "completed") record.add("not ended", { id, state });
-          await wait(2_000);
+          await wait(1_000);
         }
         const early = findEarlyCompletions(
           record.entries,
