Bound the work and memory of a job before any task of it is created

Cause: the scheduler creates an object of about 1 KB for each task that an order asks for, and no decoder bounded their number, for one job or for all together.

Change: orders of callers, rows and other VMs are checked against limits first (10,000 tasks, 1,000 steps); a refusal names the limit (413, or 400). The tasks in memory are bounded for all jobs together (30,000 of stored, 30,000 of best-effort jobs): further best-effort jobs are refused, stored ones postponed in the order in which they were stored. A row that cannot be carried out fails its job, which removes the row.

Related paths walked: orders over links, progress rows, heartbeats, scheduler rows, end records, endpoints' lists, bodies without a length.

--- a/src/decide/compute_backlogs.ts
+++ b/src/decide/compute_backlogs.ts
@@ -1,7 +1,13 @@
 import { computeServiceCapacity } from "../scheduler/compute_service_capacity.ts";
+import { hasSpaceForTasks } from "../scheduler/has_space_for_tasks.ts";
 import { predictRunMs } from "../scheduler/predict_run_ms.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 
+/** Backlog that is reported while there is hardly space for further stored jobs, in ms: above that at which they are refused. */
+const NO_SPACE_BACKLOG_MS = 3_000;
+/** Number of stored jobs' tasks for which there has to be space, so that jobs that several VMs accept at the same time are not postponed. */
+const RESERVED_TASKS = 15_000;
+
 /**
  * Computes the backlog of each service in ms: the expected work of all waiting
  * tasks, divided by the total capacity of the service. New stored jobs are
@@ -20,10 +26,17 @@
       work.set(order.service, earlier + room.cpu * runMs);
     }
   }
+  const leastMs = isSpaceShort(state) ? NO_SPACE_BACKLOG_MS : 0;
   const backlogs: Record<string, number> = {};
   for (const [service, { total }] of computeServiceCapacity(state)) {
     if (total === 0) continue;
-    backlogs[service] = Math.round((work.get(service) ?? 0) / total);
+    const workMs = Math.round((work.get(service) ?? 0) / total);
+    backlogs[service] = Math.max(workMs, leastMs);
   }
   return backlogs;
 }
+
+function isSpaceShort(state: SchedulerState): boolean {
+  const reserved = { tasks: RESERVED_TASKS, isKept: true };
+  return state.postponedJobs.size > 0 || !hasSpaceForTasks(state, reserved);
+}
--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -25,6 +25,7 @@
     "done",
     "placed",
   ],
+  orderRefused: ["job", "found"],
   jobRejoined: ["job", "vm", "wasSolo", "done", "placed"],
   taskPlaced: [
     "task",
@@ -74,7 +75,8 @@
   callerLeft: ["job", "epoch"],
   answered: ["job", "outcome", "reason", "epoch", "tookMs"],
   // Stored jobs at the scheduler
-  storedJobsRead: ["jobs"],
+  storedJobsRead: ["jobs", "postponed"],
+  jobPostponed: ["job", "tasks"],
   jobsNotSaved: ["jobs", "message"],
   endedJobsForgotten: ["jobs"],
   endedJobsNotForgotten: ["message"],
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -7,11 +7,13 @@
 import { computeMinClock } from "./compute_min_clock.ts";
 import { expireLeases } from "./expire_leases.ts";
 import { hasHiddenEnds } from "./has_hidden_ends.ts";
+import { hasUnreadStoredJobs } from "./has_unread_stored_jobs.ts";
 import { isStoredJobRun } from "./is_stored_job_run.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
+import { releaseTasks } from "./release_tasks.ts";
 import { requestCountedStarts } from "./request_counted_starts.ts";
 import { releaseIsolation } from "./release_isolation.ts";
 import { releaseHeldTasks } from "./release_held_tasks.ts";
@@ -114,6 +116,7 @@
 ): void {
   // Before the stored jobs have been read, a foreign run may belong to one of them.
   if (!state.areStoredJobsRead) return;
+  const hasUnreadJobs = hasUnreadStoredJobs(state);
   const graceMs = state.isSolo
     ? SOLO_FOREIGN_RUN_GRACE_MS
     : FOREIGN_RUN_GRACE_MS;
@@ -121,6 +124,7 @@
     if (foreignRun.isStopping || nowMs - foreignRun.firstListedMs < graceMs) {
       continue;
     }
+    if (hasUnreadJobs && isStoredJobRun(foreignRun.run)) continue;
     foreignRun.isStopping = true;
     const { run } = foreignRun;
     const endpointId = endpoint.row.id;
@@ -144,7 +148,7 @@
 function evictUnmatchedRunEnds(state: SchedulerState, nowMs: number): void {
   for (const [task, { ends, receivedMs }] of state.unmatchedRunEnds) {
     if (nowMs - receivedMs <= ENDED_JOB_RETENTION_MS) continue;
-    const isNeeded = !state.areStoredJobsRead &&
+    const isNeeded = hasUnreadStoredJobs(state) &&
       ends.some(({ run }) => isStoredJobRun(run));
     if (!isNeeded) state.unmatchedRunEnds.delete(task);
   }
@@ -159,6 +163,7 @@
         state.unsaved.has(job)
       ) continue;
       state.jobs.delete(job.order.id);
+      releaseTasks(state, job);
     } else if (isAbandoned(state, job, nowMs)) {
       endJob(state, job, {
         outcome: { type: "failed", reason: "abandoned" },
--- a/src/scheduler/apply_unmatched_run_end.ts
+++ b/src/scheduler/apply_unmatched_run_end.ts
@@ -1,6 +1,7 @@
 import { endJob } from "./end_job.ts";
 import type { RunEndId } from "./run_end_id.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { findJob } from "./find_job.ts";
 import { findTask } from "./find_task.ts";
 import { finishTask } from "./finish_task.ts";
 import { canHaveStoredJobs } from "./can_have_stored_jobs.ts";
@@ -34,9 +35,10 @@
     processStartMs: endpoint.processStartMs,
     number: end.number,
   };
-  const task = findTask(state, end.task);
-  if (task?.job.order.isKept) {
-    if (!task.job.outcome) {
+  const job = findJob(state, end.task);
+  if (job?.order.isKept) {
+    const task = findTask(state, end.task);
+    if (task && !job.outcome) {
       applyStoredJobEnd(state, task, { ...received, endId });
     }
     return;
@@ -44,7 +46,7 @@
   const known = state.unmatchedRunEnds.get(end.task);
   const ends = [...known?.ends ?? [], { how: end.how, run: end.run, endId }];
   state.unmatchedRunEnds.set(end.task, { ends, receivedMs: nowMs });
-  if (task || !isStoredJobRun(end.run) || !canHaveStoredJobs(state)) return;
+  if (job || !isStoredJobRun(end.run) || !canHaveStoredJobs(state)) return;
   if (state.isSolo) leaveEndToScheduler(state, endpoint, end);
   else endpoint.unacknowledgedEnds.set(end.number, nowMs + UNKNOWN_JOB_END_MS);
 }
--- a/src/scheduler/compute_acknowledged_end.ts
+++ b/src/scheduler/compute_acknowledged_end.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { canHaveStoredJobs } from "./can_have_stored_jobs.ts";
+import { hasUnreadStoredJobs } from "./has_unread_stored_jobs.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /**
@@ -15,7 +16,7 @@
   if (!canHaveStoredJobs(state)) endpoint.unacknowledgedEnds.clear();
   let acknowledged = endpoint.lastEndNumber;
   for (const [number, untilMs] of endpoint.unacknowledgedEnds) {
-    const isOver = state.areStoredJobsRead && untilMs <= nowMs;
+    const isOver = !hasUnreadStoredJobs(state) && untilMs <= nowMs;
     if (isOver) endpoint.unacknowledgedEnds.delete(number);
     else acknowledged = Math.min(acknowledged, number - 1);
   }
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -1,4 +1,5 @@
 import { predictCriticalPathMs } from "../decide/predict_critical_path_ms.ts";
+import { changeTaskCount } from "./change_task_count.ts";
 import { formatTaskName } from "./format_task_name.ts";
 import type { JobOrder } from "./job_order.ts";
 import { predictRunMs } from "./predict_run_ms.ts";
@@ -48,6 +49,7 @@
     )
   );
   job.openTaskCount = job.tasks.length;
+  changeTaskCount(state, job, job.tasks.length);
   return job;
 }
 
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -29,6 +29,8 @@
     startedMs: options.nowMs,
     startedUnixMs: Date.now(),
     jobs: new Map(),
+    taskCounts: { stored: 0, bestEffort: 0 },
+    postponedJobs: new Map(),
     waiting: new Set(),
     suspects: new Set(),
     countedStarts: new Map(),
--- a/src/scheduler/describe_gauges.ts
+++ b/src/scheduler/describe_gauges.ts
@@ -15,6 +15,8 @@
     scheduler_jobs: state.jobs.size,
     scheduler_waiting_jobs: state.waiting.size,
     scheduler_unsaved_jobs: state.unsaved.size,
+    scheduler_postponed_jobs: state.postponedJobs.size,
+    scheduler_tasks: state.taskCounts.stored + state.taskCounts.bestEffort,
     endpoints_isolated: endpoints
       .filter(({ isolatedTask }) => isolatedTask).length,
     scheduler_suspect_tasks: state.suspects.size,
--- a/src/scheduler/end_job.ts
+++ b/src/scheduler/end_job.ts
@@ -1,5 +1,6 @@
 import { recordJobChange } from "./record_job_change.ts";
 import { recordEvent } from "./record_event.ts";
+import { releaseTasks } from "./release_tasks.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -41,4 +42,5 @@
       run: task.run,
     });
   }
+  if (outcome.type === "completed") releaseTasks(state, job);
 }
--- a/src/scheduler/find_task.ts
+++ b/src/scheduler/find_task.ts
@@ -1,4 +1,4 @@
-import { parseTaskName } from "./parse_task_name.ts";
+import { findJob } from "./find_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -7,7 +7,5 @@
   state: SchedulerState,
   name: string,
 ): ScheduledTask | undefined {
-  const parsed = parseTaskName(name);
-  const job = parsed && state.jobs.get(parsed.jobId);
-  return job?.tasks.find((task) => task.name === name);
+  return findJob(state, name)?.tasks.find((task) => task.name === name);
 }
--- a/src/scheduler/job_outcome.ts
+++ b/src/scheduler/job_outcome.ts
@@ -12,7 +12,8 @@
   | "endpointsCrashed"
   | "outOfTime"
   | "abandoned"
-  | "cancelled";
+  | "cancelled"
+  | "malformed";
 type RefusalReason =
   | "outOfTime"
   | "noRoomInTime"
@@ -22,4 +23,6 @@
   | "abandoned"
   | "cancelled"
   | "stopping"
-  | "noScheduler";
+  | "noScheduler"
+  | "malformed"
+  | "noSpace";
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -11,6 +11,7 @@
 import { adoptTasks } from "./adopt_tasks.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { refuseOrder } from "./refuse_order.ts";
 import { reopenJob } from "./reopen_job.ts";
 import { releaseBlockedTasks } from "./release_blocked_tasks.ts";
 import { tryPassJob } from "./try_pass_job.ts";
@@ -52,11 +53,12 @@
     });
     return;
   }
+  const isResubmitted = progress?.isResubmitted ?? false;
+  if (refuseOrder(state, order, { vm, isResubmitted })) return;
   const job = createJob(state, order, nowMs);
   job.vms.add(vm);
   state.jobs.set(order.id, job);
   const refusal = findRefusal(state, job, nowMs);
-  const isResubmitted = progress?.isResubmitted ?? false;
   recordEvent(state, "jobAccepted", {
     job: order.id,
     route: order.route,
--- a/src/scheduler/try_pass_job.ts
+++ b/src/scheduler/try_pass_job.ts
@@ -1,6 +1,7 @@
 import { chooseGroup } from "../decide/choose_group.ts";
 import { isLikelyLate } from "../decide/is_likely_late.ts";
 import { recordEvent } from "./record_event.ts";
+import { releaseTasks } from "./release_tasks.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -26,6 +27,7 @@
   target.places -= job.waitingTaskCount;
   const { group } = target;
   state.jobs.delete(id);
+  releaseTasks(state, job);
   state.waiting.delete(job);
   state.passedJobs.set(id, { group, passedMs: nowMs });
   state.effects.push({
--- a/src/stored_jobs/drop_expired_end_records.ts
+++ b/src/stored_jobs/drop_expired_end_records.ts
@@ -1,4 +1,5 @@
 import type { Table } from "../store/table.ts";
+import { isPlainObject } from "../utils/is_plain_object.ts";
 import type { EndRecord } from "./end_record.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
@@ -18,7 +19,9 @@
   },
 ): Promise<number> {
   const { rows } = await table.scan(STORED_JOB_KEYS.ends, 0);
+  // A record that cannot be read has no time, and stays.
   const expired = rows.filter(({ value }) =>
+    isPlainObject(value) &&
     (value as EndRecord).endedAtMs < options.endedBeforeMs
   );
   const keys = expired.map(({ key }) => key);
--- a/src/stored_jobs/watch_stored_jobs.ts
+++ b/src/stored_jobs/watch_stored_jobs.ts
@@ -1,6 +1,9 @@
 import { setImmediate } from "node:timers/promises";
 import { readError } from "../errors/read_error.ts";
 import { cancelJob } from "../scheduler/cancel_job.ts";
+import { countTasks } from "../scheduler/count_tasks.ts";
+import { failMalformedJob } from "../scheduler/fail_malformed_job.ts";
+import { hasSpaceForTasks } from "../scheduler/has_space_for_tasks.ts";
 import { placeTasks } from "../scheduler/place_tasks.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
 import { submitStoredJob } from "../scheduler/submit_stored_job.ts";
@@ -10,12 +13,17 @@
 import type { EventLog } from "../vm/event_log.ts";
 import type { WatchableTable } from "../vm/watchable_table.ts";
 import { decodeProgress } from "./decode_progress.ts";
-import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
-import type { StoredJobRow } from "./stored_job_row.ts";
+import { decodeStoredJob } from "./decode_stored_job.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
+import { sortJobRows } from "./sort_job_rows.ts";
+import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
 /** Longest wait of one long poll, in ms. An unresponsive connection is noticed only at the end of a poll, which must be well within the time for a cancellation. */
 const LONG_POLL_MS = 500;
+/** Longest wait of one long poll while jobs are postponed, in ms: there may be space for one of them soon. */
+const POSTPONED_POLL_MS = 100;
+/** Postponed jobs that are read between two polls; each takes two calls of the store. */
+const POSTPONED_JOBS_PER_POLL = 10;
 /** Rows that are processed before the event loop gets a turn: a few ms of work, a fraction of the heartbeat interval. */
 const ROWS_PER_BATCH = 50;
 /** Pause before a failed store call is repeated, in ms. */
@@ -28,6 +36,8 @@
   progress: Map<string, JobProgressRow>;
   /** Whether an earlier scheduler may have started the jobs. */
   mayHaveRun: boolean;
+  /** Whether the job was postponed, and there is space for its tasks by now. Default: false. */
+  isPostponed?: boolean;
 };
 
 /** Finds where the batch that begins at `start` ends: not between a job and its cancel request, which is the next row. */
@@ -55,12 +65,14 @@
 
   function applyRows(read: ReadRows): void {
     // The watch returns deleted rows, those of ended jobs, without a value.
-    const rows = read.rows.filter(({ value }) => value !== undefined);
+    const rows = read.rows.filter(({ value, isUnreadable }) =>
+      value !== undefined || isUnreadable
+    );
     applyDecision((nowMs) => {
       for (const row of rows) {
         const { id, isCancelRequest } = STORED_JOB_KEYS.parseJob(row.key);
         if (isCancelRequest) cancelJob(state, id, nowMs);
-        else submitJob(row.value as StoredJobRow, { read, nowMs });
+        else takeJob(row, { id, read, nowMs });
       }
       placeTasks(state, nowMs);
     });
@@ -78,14 +90,31 @@
     }
   }
 
-  function submitJob(
-    { order, acceptedAtMs }: StoredJobRow,
-    from: { read: ReadRows; nowMs: number },
+  /** Submits the job of a row. Postpones it while there is no space for its tasks, or earlier jobs wait for that: an earlier scheduler can have started only jobs that are read now. */
+  function takeJob(
+    row: TableRow,
+    from: { id: string; read: ReadRows; nowMs: number },
   ): void {
-    const { read, nowMs } = from;
-    const progress = read.progress.get(order.id);
+    const { id, read, nowMs } = from;
+    if (state.jobs.has(id) || state.postponedJobs.has(id)) return;
+    const decoded = decodeStoredJob(row, id);
+    if (decoded.type === "malformed") {
+      failMalformedJob(state, { id, found: decoded.found }, nowMs);
+      return;
+    }
+    const { order, acceptedAtMs } = decoded;
+    const tasks = countTasks(order.steps);
+    const hasSpace = read.isPostponed ||
+      state.postponedJobs.size === 0 &&
+        hasSpaceForTasks(state, { tasks, isKept: true });
+    if (!hasSpace) {
+      state.postponedJobs.set(id, tasks);
+      log("jobPostponed", { job: id, tasks });
+      return;
+    }
+    const progress = read.progress.get(id);
     const ageMs = Math.max(0, Date.now() - acceptedAtMs);
-    submitStoredJob(state, { ...order, ageMs }, {
+    submitStoredJob(state, { ...order, ageMs, isKept: true }, {
       nowMs,
       mayHaveRun: read.mayHaveRun,
       progress: progress && decodeProgress(progress, order),
@@ -103,18 +132,46 @@
       progress.set(id, value as JobProgressRow);
     }
     if (isStopped) return;
-    await applyInBatches({ rows: jobs.rows, progress, mayHaveRun: true });
+    const rows = sortJobRows(jobs.rows);
+    await applyInBatches({ rows, progress, mayHaveRun: true });
     if (isStopped) return;
     watchedRevision = jobs.revision;
+    const keys = new Set(rows.map(({ key }) => key));
+    for (const id of state.postponedJobs.keys()) {
+      const key = STORED_JOB_KEYS.formatJob(id);
+      if (!keys.has(key)) state.postponedJobs.delete(id);
+    }
     if (state.areStoredJobsRead) return;
     state.areStoredJobsRead = true;
-    log("storedJobsRead", { jobs: jobs.rows.length });
+    const postponed = state.postponedJobs.size;
+    log("storedJobsRead", { jobs: rows.length, postponed });
+  }
+
+  /** Reads the postponed jobs for which there is space by now, in the order in which they were stored. */
+  async function readPostponedJobs(): Promise<void> {
+    for (let count = 0; count < POSTPONED_JOBS_PER_POLL; count += 1) {
+      const [next] = state.postponedJobs;
+      if (!next || isStopped) return;
+      const [id, tasks] = next;
+      if (!hasSpaceForTasks(state, { tasks, isKept: true })) return;
+      const jobs = await table.scan(STORED_JOB_KEYS.formatJob(id), 0);
+      const found = await table.scan(STORED_JOB_KEYS.formatProgress(id), 0);
+      if (isStopped) return;
+      const progress = new Map<string, JobProgressRow>();
+      for (const { value, revision } of found.rows) {
+        options.onProgressFound(id, revision);
+        progress.set(id, value as JobProgressRow);
+      }
+      state.postponedJobs.delete(id);
+      const rows = sortJobRows(jobs.rows);
+      applyRows({ rows, progress, mayHaveRun: true, isPostponed: true });
+    }
   }
 
   async function watch(): Promise<void> {
     const { rows, revision } = await table.watch(STORED_JOB_KEYS.jobs, {
       sinceRevision: watchedRevision,
-      waitMs: LONG_POLL_MS,
+      waitMs: state.postponedJobs.size > 0 ? POSTPONED_POLL_MS : LONG_POLL_MS,
     });
     if (isStopped) return;
     watchedRevision = Math.max(watchedRevision, revision);
@@ -129,6 +186,7 @@
         if (watchedRevision === 0 || isStoreLost) await readAllJobs();
         if (isStoreLost) log("storeRegained", { watch: "storedJobs" });
         isStoreLost = false;
+        await readPostponedJobs();
         if (!isStopped) await watch();
       } catch (thrown) {
         const { message } = readError(thrown);
--- a/src/vm/poll_group_summaries.ts
+++ b/src/vm/poll_group_summaries.ts
@@ -1,5 +1,6 @@
 import { readError } from "../errors/read_error.ts";
 import type { Table } from "../store/table.ts";
+import { isPlainObject } from "../utils/is_plain_object.ts";
 import type { HeartbeatRow } from "./heartbeat_row.ts";
 import type { EventLog } from "./event_log.ts";
 import { formatRowKeys } from "./format_row_keys.ts";
@@ -35,8 +36,9 @@
     const summaries = new Map<string, GroupSummary>();
     for (const { key, value } of scan.rows) {
       const group = byKey.get(key);
+      if (group === undefined || !isPlainObject(value)) continue;
       const { storeMs, summary } = value as HeartbeatRow;
-      if (group === undefined || !summary) continue;
+      if (!Array.isArray(summary?.rooms)) continue;
       if (scan.atMs - storeMs > STALE_HEARTBEAT_MS) continue;
       summaries.set(group, summary);
     }
--- a/src/vm/watch_scheduler_rows.ts
+++ b/src/vm/watch_scheduler_rows.ts
@@ -1,5 +1,6 @@
 import { readError } from "../errors/read_error.ts";
 import type { TableRow } from "../store/table_row.ts";
+import { isPlainObject } from "../utils/is_plain_object.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EventLog } from "./event_log.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
@@ -32,7 +33,7 @@
 
   function forwardRows(rows: TableRow[]): void {
     for (const row of rows) {
-      if (row.value !== undefined) {
+      if (isPlainObject(row.value)) {
         options.onChange(row as TableRow<SchedulerRow>);
       }
     }
