--- a/src/scheduler/change_task_count.ts
+++ b/src/scheduler/change_task_count.ts
@@ -7,5 +7,5 @@
   { order }: ScheduledJob,
   change: number,
 ): void {
-  taskCounts[order.isKept ? "stored" : "bestEffort"] += change;
+  taskCounts[order.isKept ? "stored" : "unstored"] += change;
 }
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -29,7 +29,7 @@
     startedMs: options.nowMs,
     startedUnixMs: Date.now(),
     jobs: new Map(),
-    taskCounts: { stored: 0, bestEffort: 0 },
+    taskCounts: { stored: 0, unstored: 0 },
     postponedJobs: new Map(),
     waiting: new Set(),
     suspects: new Set(),
--- a/src/scheduler/describe_gauges.ts
+++ b/src/scheduler/describe_gauges.ts
@@ -16,7 +16,7 @@
     scheduler_waiting_jobs: state.waiting.size,
     scheduler_unsaved_jobs: state.unsaved.size,
     scheduler_postponed_jobs: state.postponedJobs.size,
-    scheduler_tasks: state.taskCounts.stored + state.taskCounts.bestEffort,
+    scheduler_tasks: state.taskCounts.stored + state.taskCounts.unstored,
     endpoints_isolated: endpoints
       .filter(({ isolatedTask }) => isolatedTask).length,
     scheduler_suspect_tasks: state.suspects.size,
--- a/src/scheduler/has_space_for_tasks.ts
+++ b/src/scheduler/has_space_for_tasks.ts
@@ -8,6 +8,6 @@
   { taskCounts }: SchedulerState,
   job: { tasks: number; isKept: boolean },
 ): boolean {
-  const known = job.isKept ? taskCounts.stored : taskCounts.bestEffort;
+  const known = job.isKept ? taskCounts.stored : taskCounts.unstored;
   return known + job.tasks <= MAX_TASKS;
 }
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -25,7 +25,7 @@
   /** Open jobs and, for the retention period, ended ones, by id. */
   jobs: Map<string, ScheduledJob>;
   /** Number of tasks in memory, of the stored and of the best-effort jobs. */
-  taskCounts: { stored: number; bestEffort: number };
+  taskCounts: { stored: number; unstored: number };
   /** Stored jobs that are read once there is space for them in memory, by id in the order in which they were stored, with their numbers of tasks. */
   postponedJobs: Map<string, number>;
   /** Jobs with at least one waiting task. */
--- a/src/stored_jobs/sort_job_rows.ts
+++ b/src/stored_jobs/list_rows_by_age.ts
@@ -1,8 +1,8 @@
 import type { TableRow } from "../store/table_row.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
-/** Sorts rows of the job table in the order in which the jobs were stored, each cancel request after its job. */
-export function sortJobRows(rows: TableRow[]): TableRow[] {
+/** Lists rows of the job table in the order in which the jobs were stored, each cancel request after its job. */
+export function listRowsByAge(rows: TableRow[]): TableRow[] {
   const revisions = new Map<string, number>();
   for (const { key, revision } of rows) {
     const { id, isCancelRequest } = STORED_JOB_KEYS.parseJob(key);
--- a/src/stored_jobs/watch_stored_jobs.ts
+++ b/src/stored_jobs/watch_stored_jobs.ts
@@ -15,7 +15,7 @@
 import { decodeProgress } from "./decode_progress.ts";
 import { decodeStoredJob } from "./decode_stored_job.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
-import { sortJobRows } from "./sort_job_rows.ts";
+import { listRowsByAge } from "./list_rows_by_age.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
 
 /** Longest wait of one long poll, in ms. An unresponsive connection is noticed only at the end of a poll, which must be well within the time for a cancellation. */
@@ -132,7 +132,7 @@
       progress.set(id, value as JobProgressRow);
     }
     if (isStopped) return;
-    const rows = sortJobRows(jobs.rows);
+    const rows = listRowsByAge(jobs.rows);
     await applyInBatches({ rows, progress, mayHaveRun: true });
     if (isStopped) return;
     watchedRevision = jobs.revision;
@@ -163,7 +163,7 @@
         progress.set(id, value as JobProgressRow);
       }
       state.postponedJobs.delete(id);
-      const rows = sortJobRows(jobs.rows);
+      const rows = listRowsByAge(jobs.rows);
       applyRows({ rows, progress, mayHaveRun: true, isPostponed: true });
     }
   }
--- a/test/stored_jobs/postponed_jobs_test.ts
+++ b/test/stored_jobs/postponed_jobs_test.ts
@@ -99,7 +99,7 @@
     const outcome = driver.outcomes.get("j3");
     assert.equal(outcome?.type, "refused");
     assert.equal(outcome?.type === "refused" && outcome.reason, "noSpace");
-    assert.equal(driver.state.taskCounts.bestEffort, 30_000);
+    assert.equal(driver.state.taskCounts.unstored, 30_000);
   });
 
   test("one that may have started is not said to be refused", () => {
@@ -121,6 +121,6 @@
     driver.end(driver.starts[0], "done", 1);
 
     assert.equal(driver.outcomes.get("j")?.type, "completed");
-    assert.equal(driver.state.taskCounts.bestEffort, 0);
+    assert.equal(driver.state.taskCounts.unstored, 0);
   });
 });
