Change the phase of a task in one place, where done is final

Cause: a start that was not answered set its task from done back to unsure; the task started once more, and its end lowered the count of open tasks a second time. The phase was set in ten places, the counts beside it in six.

A start that waits for the store is dropped when its task is done by then. startUnanswered logs the phase.

Related paths walked: progress of solo VMs, counted starts, reopened jobs, adopted runs, outcomes of jobs, phases of endpoints.

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -38,7 +38,7 @@
     "slowness",
     "heardAgoMs",
   ],
-  startUnanswered: ["task", "run", "endpoint"],
+  startUnanswered: ["task", "run", "endpoint", "wasPhase"],
   taskEnded: ["task", "run", "endpoint", "how", "tookMs"],
   taskRequeued: [
     "task",
--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -1,4 +1,5 @@
 import { addRun } from "./add_run.ts";
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { isSuspect } from "./is_suspect.ts";
@@ -29,7 +30,7 @@
     listedAgoMs: Math.round(nowMs - endpoint.listingRequestedMs),
   });
   task.run = run;
-  task.phase = "running";
+  changeTaskPhase(state, task, "adopt");
   // Reset what is known of the task's earlier run; none of it applies to the adopted run.
   task.startConfirmedMs = 0;
   confirmStart(endpoint, task, { nowMs });
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -1,4 +1,5 @@
 import { adoptRun } from "./adopt_run.ts";
+import { changeTaskPhase } from "./change_task_phase.ts";
 import type { KnownProgress } from "./known_progress.ts";
 import { recordJobChange } from "./record_job_change.ts";
 import { recordFailedRun } from "./record_failed_run.ts";
@@ -29,9 +30,8 @@
   for (const task of job.tasks) {
     const isDone = applyUnmatchedEnds(state, task);
     if (done.has(task.name) || isDone) {
-      task.phase = "done";
+      changeTaskPhase(state, task, "finish");
       job.hasKnownStart = true;
-      job.openTaskCount -= 1;
       continue;
     }
     const endpoint = findAdoptableRun(state, task.name, sinceMs);
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -1,4 +1,5 @@
 import { applyUnmatchedRunEnd } from "./apply_unmatched_run_end.ts";
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { confirmStart } from "./confirm_start.ts";
 import type { EndpointListing } from "./endpoint_listing.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
@@ -129,8 +130,7 @@
     }
     confirmStart(endpoint, task, { nowMs });
     recordProgress(state, endpoint, { task, progress, nowMs });
-    if (task.phase !== "starting" && task.phase !== "unsure") continue;
-    task.phase = "running";
+    changeTaskPhase(state, task, "confirm");
   }
   if (hasHiddenEnds(state, endpoint)) return;
   for (const task of [...endpoint.runs.values()]) {
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordFailure } from "./record_failure.ts";
@@ -36,7 +37,7 @@
   // The frequent reply, decided without the cost of matching patterns.
   if (reply.type === "accepted") {
     endpoint.roomRejections = 0;
-    if (task.phase === "starting") task.phase = "running";
+    if (task.phase === "starting") changeTaskPhase(state, task, "confirm");
     confirmStart(endpoint, task, { nowMs, clockMs: reply.clockMs });
     if (task.job.outcome) stopRun(state, endpoint, task);
     return;
@@ -54,12 +55,16 @@
       placeTasks(state, nowMs);
     })
     .with({ type: "unanswered" }, () => {
-      task.phase = "unsure";
-      task.failedEndpointIds.push(endpoint.row.id);
+      const wasPhase = task.phase;
+      // Another run may have ended the task meanwhile.
+      if (changeTaskPhase(state, task, "doubt")) {
+        task.failedEndpointIds.push(endpoint.row.id);
+      }
       recordEvent(state, "startUnanswered", {
         task: task.name,
         run: task.run,
         endpoint: endpoint.row.id,
+        wasPhase,
       });
       stopRun(state, endpoint, task);
     })
--- a/src/scheduler/record_foreign_run.ts
+++ b/src/scheduler/record_foreign_run.ts
@@ -39,7 +39,6 @@
     return;
   }
   endpoint.foreignRuns.delete(listed.task);
-  if (task.phase === "waiting") task.job.waitingTaskCount -= 1;
   adoptRun(state, endpoint, { task, run, from: "listing", nowMs });
 }
 
--- a/src/scheduler/release_blocked_tasks.ts
+++ b/src/scheduler/release_blocked_tasks.ts
@@ -1,3 +1,4 @@
+import { changeTaskPhase } from "./change_task_phase.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -14,8 +15,6 @@
     if (task.phase !== "blocked") continue;
     const { after } = job.order.steps[task.step];
     if (!after.every((step) => isDone[step])) continue;
-    task.phase = "waiting";
-    job.waitingTaskCount += 1;
+    changeTaskPhase(state, task, "release");
   }
-  if (job.waitingTaskCount > 0) state.waiting.add(job);
 }
--- a/src/scheduler/reopen_job.ts
+++ b/src/scheduler/reopen_job.ts
@@ -1,3 +1,4 @@
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { releaseBlockedTasks } from "./release_blocked_tasks.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -20,9 +21,10 @@
   // The VMs that were notified of the outcome no longer wait for the job.
   job.vms.clear();
   for (const task of job.tasks) {
-    const { endpointId = "", name, phase } = task;
+    const { endpointId = "", name } = task;
     const hasRun = state.endpoints.get(endpointId)?.runs.get(name) === task;
-    if (phase !== "done" && !hasRun) task.phase = "blocked";
+    if (!hasRun) changeTaskPhase(state, task, "block");
   }
+  job.waitingTaskCount = 0;
   releaseBlockedTasks(state, job);
 }
--- a/src/scheduler/request_counted_starts.ts
+++ b/src/scheduler/request_counted_starts.ts
@@ -45,6 +45,8 @@
   if (phase !== "usable" || row.isDraining || foreignRuns.size > 0) {
     return false;
   }
+  // A run that another scheduler started may have ended the task meanwhile.
+  if (start.task.phase === "done") return false;
   return !start.task.job.outcome && start.nowMs <= state.roleExclusiveUntilMs;
 }
 
--- a/src/scheduler/retry_task.ts
+++ b/src/scheduler/retry_task.ts
@@ -1,3 +1,4 @@
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { clearCountedStart } from "./clear_counted_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
@@ -17,11 +18,8 @@
 ): void {
   const { reason, endpoint, nowMs } = lostRun;
   const { job } = task;
-  if (job.outcome || task.phase === "done" || task.phase === "waiting") return;
+  if (job.outcome || !changeTaskPhase(state, task, "retry")) return;
   clearCountedStart(state, task);
-  task.phase = "waiting";
-  job.waitingTaskCount += 1;
-  state.waiting.add(job);
   recordEvent(state, "taskRequeued", {
     task: task.name,
     run: task.run,
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -9,7 +9,8 @@
   job: ScheduledJob;
   /** Index of the task's step in the order. */
   step: number;
-  phase: TaskPhase;
+  /** Changed by `changeTaskPhase` only. */
+  readonly phase: TaskPhase;
   /** Number of the latest run; rises with each start. */
   run: number;
   /** Endpoint of the latest run while that run is tracked there; for a held task, the endpoint where a run was last known. */
--- a/src/scheduler/start_task.ts
+++ b/src/scheduler/start_task.ts
@@ -1,4 +1,5 @@
 import { addRun } from "./add_run.ts";
+import { changeTaskPhase } from "./change_task_phase.ts";
 import { computeRunNumber } from "./compute_run_number.ts";
 import { countStart } from "./count_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
@@ -17,7 +18,7 @@
   const { job } = task;
   const earlierRun = task.run;
   task.run = computeRunNumber(task, endpoint.token);
-  task.phase = "starting";
+  changeTaskPhase(state, task, "start");
   task.startSentMs = nowMs;
   task.startConfirmedMs = 0;
   task.startedClockMs = 0;
@@ -25,8 +26,6 @@
   task.progress = 0;
   task.expectedEndMs = 0;
   job.mayHaveStarted = true;
-  job.waitingTaskCount -= 1;
-  if (job.waitingTaskCount === 0) state.waiting.delete(job);
   addRun(endpoint, task);
   // The scheduler may end before it learns whether the start crashes the endpoint.
   if (job.order.isKept && hasLostRuns(task)) {
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -54,6 +54,38 @@
   ).map(([links, others]) => [...links, ...others]);
 }
 
+/** Creates the faults of a history in which endpoints are cut off one after the other, each before the one before is back, while orders take long to be given up. */
+export function createOverlappingCutFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const cuts = fc.record({
+    atMs: fc.integer({ min: 500, max: 10_000 }),
+    forMs: fc.integer({ min: 900, max: 2_000 }),
+    endpoint: fc.integer({ min: 0, max: 3 }),
+    next: fc.integer({ min: 1, max: 3 }),
+    overlapMs: fc.integer({ min: 0, max: 600 }),
+    nextForMs: fc.integer({ min: 300, max: 3_000 }),
+  }).map(({ atMs, forMs, endpoint, next, ...second }): Fault[] => [
+    { atMs, forMs, endpoint, kind: "cut" },
+    {
+      atMs: atMs + forMs - second.overlapMs,
+      forMs: second.nextForMs,
+      endpoint: (endpoint + next) % 4,
+      kind: "cut",
+    },
+  ]);
+  const others = createArray(KINDS, {
+    minLength: 0,
+    maxLength: 2,
+    maxDurationMs: 3_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(fc.array(cuts, { minLength: 1, maxLength: 5 }), others)
+    .map(([pairs, more]) => [
+      { atMs: 0, forMs: 20_000, endpoint: 0, kind: "ordersSlow" },
+      ...pairs.flat(),
+      ...more,
+    ]);
+}
+
 /** Creates the faults of a history in which the store is down, while all runs may fail and the scheduler may be replaced; endpoints list few run ends at a time. */
 export function createStoreFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const outage = fc.record({
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -1,4 +1,4 @@
-/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, tasksCrash and crashesEndScheduler ignore it. */
+/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, ordersSlow, tasksCrash and crashesEndScheduler ignore it. */
 export type Fault = {
   atMs: number;
   forMs: number;
@@ -14,6 +14,8 @@
     | "processRestart"
     /** The endpoint is missing from the store's list of endpoints. */
     | "unlisted"
+    /** Orders are given up after 500 ms in place of 40 ms, as those to an endpoint that has not answered before. */
+    | "ordersSlow"
     /** Every run fails. */
     | "runsFail"
     /** No run ends by itself. */
--- /dev/null
+++ b/test/scheduler_fuzz/find_wrong_counts.ts
@@ -0,0 +1,28 @@
+import type { SchedulerState } from "../../src/scheduler/scheduler_state.ts";
+
+/** Finds the open jobs whose counts of open and waiting tasks differ from the phases of their tasks, and wrong totals of tasks in memory. */
+export function findWrongCounts(state: SchedulerState): string[] {
+  const found: string[] = [];
+  let tasksInMemory = 0;
+  for (const { order, outcome, tasks, ...counts } of state.jobs.values()) {
+    tasksInMemory += tasks.length;
+    if (outcome) continue;
+    const open = tasks.filter(({ phase }) => phase !== "done").length;
+    const waiting = tasks.filter(({ phase }) => phase === "waiting").length;
+    if (open !== counts.openTaskCount) {
+      found.push(
+        `${order.id} counts ${counts.openTaskCount} of ${open} open tasks`,
+      );
+    }
+    if (waiting !== counts.waitingTaskCount) {
+      found.push(
+        `${order.id} counts ${counts.waitingTaskCount} of ${waiting} waiting tasks`,
+      );
+    }
+  }
+  const { stored, unstored } = state.taskCounts;
+  if (stored + unstored !== tasksInMemory) {
+    found.push(`${stored + unstored} of ${tasksInMemory} tasks are counted`);
+  }
+  return found;
+}
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -29,6 +29,8 @@
 const ROLE_EXCLUSIVE_MS = 280;
 /** Time-out of a start or stop order. */
 const ORDER_TIMEOUT_MS = 40;
+/** The same for an endpoint that has not answered before. */
+const SLOW_ORDER_TIMEOUT_MS = 500;
 /** Time-out of a request for a listing. */
 const LIST_TIMEOUT_MS = 250;
 const STOP_RETRY_DELAY_MS = 50;
@@ -49,6 +51,8 @@
   runAfter(afterMs: number, run: () => void): void;
   /** Whether the endpoint's process has ended and no other has begun, so that connections are refused. */
   isDown(endpoint: FuzzEndpoint): boolean;
+  /** Whether orders are given up late. */
+  hasSlowOrders(): boolean;
   findCallDelays(host: FuzzHost, endpoint: FuzzEndpoint): CallDelays;
   /** Returns the store's list of endpoints; undefined when it can't be read. */
   listRows(): EndpointRow[] | undefined;
@@ -227,7 +231,7 @@
     };
     const workMs = this.#world.readWorkMs(task.name);
     this.#call(endpoint, {
-      timeoutMs: ORDER_TIMEOUT_MS,
+      timeoutMs: this.#readOrderTimeout(),
       run: (nowMs) => endpoint.start(order, { nowMs, workMs }),
       onAnswer: reply,
       onTimeout: () => reply({ type: "unanswered" }),
@@ -248,7 +252,7 @@
         () => this.#stop(effect, attempt + 1),
       );
     this.#call(endpoint, {
-      timeoutMs: ORDER_TIMEOUT_MS,
+      timeoutMs: this.#readOrderTimeout(),
       run: (nowMs) => endpoint.stop({ task, run, token }, nowMs),
       onAnswer: (isDone) => {
         if (!isDone) retry();
@@ -262,6 +266,12 @@
     });
   }
 
+  #readOrderTimeout(): number {
+    return this.#world.hasSlowOrders()
+      ? SLOW_ORDER_TIMEOUT_MS
+      : ORDER_TIMEOUT_MS;
+  }
+
   #findEndpoint(id: string): FuzzEndpoint {
     return this.#world.endpoints.find((one) => one.id === id) as FuzzEndpoint;
   }
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -5,6 +5,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createOverlappingCutFaultArbitrary,
   createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import type { Fault } from "./fault.ts";
@@ -24,6 +25,7 @@
   links: createLinkFaultArbitrary(),
   former: createEarlierSchedulerFaultArbitrary(),
   store: createStoreFaultArbitrary(),
+  cuts: createOverlappingCutFaultArbitrary(),
   crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -15,6 +15,7 @@
   createOrder,
   createStep,
 } from "../fixtures/create_scheduler_driver.ts";
+import { findWrongCounts } from "./find_wrong_counts.ts";
 import type { Fault } from "./fault.ts";
 import { FuzzEndpoint } from "./fuzz_endpoint.ts";
 import { FuzzHost } from "./fuzz_host.ts";
@@ -87,6 +88,8 @@
   const hasEarlierLinks = faults.some(({ kind }) => kind === "linkToEarlier");
   const events = new BinaryHeap<() => void>();
   const stored = new Map<string, StoredJob>();
+  /** Orders of the best-effort jobs, by id. */
+  const unstoredOrders = new Map<string, JobOrder>();
   const outcomes = new Map<string, JobOutcome>();
   const activeFaults = new Set<Fault>();
   /** Tasks that crash each endpoint that starts them. */
@@ -109,6 +112,7 @@
   let nowMs = 0;
   let epoch = 0;
   let lastRaiseMs = 0;
+  let hasWrongCounts = false;
   let current: FuzzHost | undefined;
   /** The scheduler that was replaced last. */
   let earlier: FuzzHost | undefined;
@@ -219,6 +223,8 @@
     readNow: () => nowMs,
     runAfter,
     isDown: (endpoint) => isFaulty("processRestart", endpoint),
+    hasSlowOrders: () =>
+      [...activeFaults].some(({ kind }) => kind === "ordersSlow"),
     findCallDelays,
     receiveEffect: (host, effect) => vms.receiveEffect(host, effect),
     hasRole: (host) => host === current,
@@ -290,9 +296,17 @@
     });
   }
 
+  function checkCounts({ state }: FuzzHost): void {
+    const [found] = findWrongCounts(state);
+    if (!found || hasWrongCounts) return;
+    hasWrongCounts = true;
+    oracle.violations.push(`${nowMs}: ${found}`);
+  }
+
   /** Writes the progress of unsaved jobs; the store accepts writes of the role holder only. */
   function save(host: FuzzHost): void {
     if (!host.isAlive) return;
+    checkCounts(host);
     if (isStoreDown()) {
       runAfter(STORE_RETRY_MS, () => save(host));
       return;
@@ -421,6 +435,7 @@
       stretch: 8,
     });
     if (index % 2 === 0) {
+      unstoredOrders.set(id, order);
       vms.submit(order, index / 2);
       return;
     }
@@ -462,6 +477,11 @@
   for (const id of vms.openJobs.keys()) {
     violations.push(`${id} was never answered`);
   }
+  for (const [id, { type }] of outcomes) {
+    if (type !== "completed") continue;
+    const order = unstoredOrders.get(id) as JobOrder;
+    violations.push(...findIncompleteTasks(order, oracle));
+  }
   for (const { order, end, isCancelled } of stored.values()) {
     const how = end?.type ?? "none";
     ended[`stored ${how}`] = (ended[`stored ${how}`] ?? 0) + 1;
@@ -494,5 +514,5 @@
 function findIncompleteTasks(order: JobOrder, oracle: Oracle): string[] {
   return listTaskNames(order)
     .filter((task) => !oracle.hasEnded(task, "done"))
-    .map((task) => `${task} was not done but its job is stored as completed`);
+    .map((task) => `${task} was not done but its job ended as completed`);
 }
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -6,6 +6,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createOverlappingCutFaultArbitrary,
   createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import { runSchedulerHistory } from "./run_scheduler_history.ts";
@@ -16,6 +17,7 @@
 const EARLIER_SCHEDULER_HISTORIES = 15;
 const STORE_HISTORIES = 40;
 const CRASH_HISTORIES = 40;
+const CUT_HISTORIES = 40;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -65,6 +67,19 @@
   );
 });
 
+test("no history in which endpoints are cut off one after the other violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createOverlappingCutFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: CUT_HISTORIES },
+  );
+});
+
 test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
@@ -90,6 +105,37 @@
   assert.deepEqual(runSchedulerHistory(faults, 48_843).violations, []);
 });
 
+test("a job does not count a task as done twice when a start of it is not answered after its end was listed", () => {
+  const cuts = [
+    [500, 900, 0],
+    [1_400, 300, 1],
+    [1_537, 900, 1],
+    [
+      2_437,
+      300,
+      2,
+    ],
+    [4_806, 1_553, 2],
+    [6_260, 300, 0],
+  ].map(([atMs, forMs, endpoint]) => ({
+    atMs,
+    forMs,
+    endpoint,
+    kind: "cut" as const,
+  }));
+  const slow = {
+    atMs: 0,
+    forMs: 20_000,
+    endpoint: 0,
+    kind: "ordersSlow",
+  } as const;
+
+  assert.deepEqual(
+    runSchedulerHistory([slow, ...cuts], 716_639).violations,
+    [],
+  );
+});
+
 test("a task whose end is hidden by a full listing while the store is down is not started again", () => {
   const faults = [
     { atMs: 2_214, forMs: 506, endpoint: 0, kind: "storeDown" } as const,
