Move the stored jobs to another group when the scheduler that runs them is gone

Cause: the stored jobs belonged to the first group by its name, and only VMs of that group may take its role.

Change: a row names the group that runs the stored jobs. When the scheduler of that group has written no heartbeat for 10 s while the store could be read, another group's scheduler takes them over in one transaction that replaces the old scheduler row and heartbeat: the fence of a takeover. The old scheduler starts nothing later than 5.3 s after its last heartbeat, and its leases have expired after 9.5 s. A scheduler of the version before that runs them in the first group gets them back.

Related paths walked: groups without VMs, groups cut off from the store, store down or slow for all, pending and backlogs, the version before.

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -125,6 +125,8 @@
   takeoverWeighed: ["epoch", "how", "rank", "beatAgeMs", "decision"],
   takeoverFailed: ["message"],
   groupJoined: ["group", "groups"],
+  storedJobsTaken: ["group", "wasGroup", "absentMs"],
+  storedJobsReturned: ["group", "wasGroup"],
   guestLinked: ["group", "vm", "epoch"],
   guestLinkDropped: ["group", "reason"],
   linked: ["epoch", "jobs"],
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -91,6 +91,8 @@
   findHost(): SchedulerHost | undefined;
   /** The role holder of this VM's group, as far as this VM knows. */
   findRow(): SchedulerRow | undefined;
+  /** Stops the scheduler that runs in this process; this VM takes the role again, under a later epoch, unless another VM does. */
+  restartScheduler(reason: string): void;
   stop(): void;
 } {
   const { settings, incarnation, ports, jobs, log, storedJobsView } = options;
@@ -447,6 +449,11 @@
   return {
     findHost: () => host,
     findRow: () => row?.value,
+    restartScheduler: (reason) => {
+      if (!host) return;
+      stopScheduler(reason);
+      delay.wake();
+    },
     stop: () => {
       isStopped = true;
       stopSoloPoll();
--- a/src/vm/poll_group_summaries.ts
+++ b/src/vm/poll_group_summaries.ts
@@ -1,4 +1,5 @@
 import { readError } from "../errors/read_error.ts";
+import type { ScanResult } from "../store/scan_result.ts";
 import type { Table } from "../store/table.ts";
 import { isPlainObject } from "../utils/is_plain_object.ts";
 import type { HeartbeatRow } from "./heartbeat_row.ts";
@@ -22,6 +23,11 @@
   log: EventLog;
   /** Names of the other groups. */
   groups: string[];
+  /** Called with the heartbeats as just read, and the summaries in those that are current. */
+  onRead: (
+    host: SchedulerHost,
+    read: { scan: ScanResult; summaries: Map<string, GroupSummary> },
+  ) => Promise<void>;
   findHost: () => SchedulerHost | undefined;
 }): { stop(): void } {
   const { table, log, groups, findHost } = options;
@@ -43,6 +49,7 @@
       summaries.set(group, summary);
     }
     host.setGroupSummaries(summaries);
+    await options.onRead(host, { scan, summaries });
   }
 
   async function poll(): Promise<void> {
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -18,6 +18,10 @@
   beginEpoch(epoch: number): void;
   /** To be called when a heartbeat sent at `sentMs`, in monotonic ms, has been written: no other VM can have taken the role before that heartbeat is stale. */
   confirmRole(sentMs: number): void;
+  /** Sets whether this scheduler runs the stored jobs. Once it has begun to, it stops with them: then another group's scheduler has taken them over. */
+  setRunsStoredJobs(runsStoredJobs: boolean): void;
+  /** Reads the revision of the scheduler row under which this scheduler has the role. */
+  readRoleRevision(): number;
   /** Describes this scheduler for the schedulers of other groups. */
   describeSummary(): GroupSummary;
   /** Sets the current summaries of the other groups, by group. */
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -46,6 +46,8 @@
 const HEARTBEATS_PER_GUEST_HEARTBEAT = 2;
 /** For this long after a heartbeat was sent no other VM can have taken the role, in ms: less than the age at which a heartbeat is stale. */
 const ROLE_EXCLUSIVE_MS = 280;
+/** Where other groups exist, the role counts as exclusive for this long without a heartbeat that reached the store, in ms. The leases of the stored jobs' runs expire before another group may take these jobs over. */
+const MAX_UNCONFIRMED_MS = 5_000;
 /** After a failed read the list of endpoints may lack entries; it counts as reliable again after this time, in ms. */
 const LIST_RELIABLE_AFTER_MS = 2_500;
 
@@ -67,8 +69,6 @@
   readReport: () => Pick<VmReport, "loopDelayMs" | "slowedMs">;
   /** Whether there may be stored jobs, as the last scheduler reported. */
   hasKeptJobs: boolean;
-  /** Whether this group runs the stored jobs. */
-  runsStoredJobs: boolean;
   /** Key of the scheduler row, which gives this process the role. */
   roleKey: string;
   /** Ids of the endpoints in the last list that this VM has read. */
@@ -85,8 +85,8 @@
     nowMs: readMonotonicMs(),
     isSolo,
     hasKeptJobs: options.hasKeptJobs,
-    // A VM in solo mode leaves stored jobs to the scheduler.
-    areStoredJobsRead: isSolo || !options.runsStoredJobs,
+    // A VM in solo mode leaves stored jobs to the scheduler. Any other scheduler may be the one that runs them.
+    areStoredJobsRead: isSolo,
     hasOtherGroups: options.hasOtherGroups,
     knownEndpointIds: options.knownEndpointIds,
   });
@@ -104,6 +104,8 @@
   let resignedMs = 0;
   /** Summary of the group that runs the stored jobs, if that is another group. */
   let otherGroupStoredJobs: GroupSummary | undefined;
+  /** Reads and saves the stored jobs, while this scheduler runs them. */
+  let storedJobSync: { stop(): void } | undefined;
   let isStopped = false;
   let listFailedMs = 0;
 
@@ -250,7 +252,7 @@
       epoch,
       configurationVersion: options.configurationVersion(),
       hasKeptJobs: canHaveStoredJobs(state),
-      ...(options.runsStoredJobs
+      ...(storedJobSync
         ? {
           pending: listPendingJobs(),
           backlogsMs: state.hasKeptJobs ? computeBacklogs(state) : {},
@@ -304,10 +306,40 @@
   function advance(nowMs: number): void {
     state.lostVmCount = links.countSoloVms(nowMs);
     // A VM that was lost at the last written heartbeat, or since, may still run and reach the store, however long ago it was lost.
-    if (!isSolo && links.isStoreLostForAll(heartbeatSentMs)) confirmRole(nowMs);
+    if (canConfirmWithoutStore(nowMs)) confirmRole(nowMs);
     advanceScheduler(state, nowMs);
   }
 
+  /** Whether no other VM can have taken the role, although no heartbeat reaches the store. */
+  function canConfirmWithoutStore(nowMs: number): boolean {
+    if (isSolo || !links.isStoreLostForAll(heartbeatSentMs)) return false;
+    // VMs of other groups, which are not linked, may reach the store and take the stored jobs over.
+    return !options.hasOtherGroups ||
+      nowMs - heartbeatSentMs < MAX_UNCONFIRMED_MS;
+  }
+
+  function setRunsStoredJobs(runsStoredJobs: boolean): void {
+    if (isSolo || isStopped) return;
+    if (!runsStoredJobs) {
+      state.areStoredJobsRead = true;
+      if (storedJobSync) options.onSuperseded(1);
+      return;
+    }
+    if (storedJobSync) return;
+    state.areStoredJobsRead = false;
+    storedJobSync = startStoredJobSync({
+      roleKey: options.roleKey,
+      table: ports.table,
+      state,
+      applyDecision,
+      log,
+      readRoleRevision: options.readRoleRevision,
+      onSuperseded: () => options.onSuperseded(1),
+      onEndsStored: sessions.notifyEndsStored,
+      readEndRetentionMs: () => settings.keepEndsMs,
+    });
+  }
+
   function confirmRole(atMs: number): void {
     const untilMs = atMs + ROLE_EXCLUSIVE_MS;
     state.roleExclusiveUntilMs = Math.max(state.roleExclusiveUntilMs, untilMs);
@@ -318,18 +350,6 @@
     ADVANCE_INTERVAL_MS,
   );
   const heartbeatTimer = setInterval(sendHeartbeat, HEARTBEAT_INTERVAL_MS);
-  const runsStoredJobs = !isSolo && options.runsStoredJobs;
-  const storedJobSync = !runsStoredJobs ? undefined : startStoredJobSync({
-    roleKey: options.roleKey,
-    table: ports.table,
-    state,
-    applyDecision,
-    log,
-    readRoleRevision: options.readRoleRevision,
-    onSuperseded: () => options.onSuperseded(1),
-    onEndsStored: sessions.notifyEndsStored,
-    readEndRetentionMs: () => settings.keepEndsMs,
-  });
   pollEndpoints();
   log("schedulerBegan", { epoch, token: options.token, isSolo });
 
@@ -343,13 +363,15 @@
       heartbeatSentMs = Math.max(heartbeatSentMs, atMs);
       confirmRole(atMs);
     },
+    setRunsStoredJobs,
+    readRoleRevision: options.readRoleRevision,
     attach,
     listSuccessors: links.listSuccessors,
     resign,
     describeSummary: () => ({
       rooms: describeGroupCapacity(state),
-      pending: options.runsStoredJobs ? listPendingJobs() : undefined,
-      backlogsMs: options.runsStoredJobs && state.hasKeptJobs
+      pending: storedJobSync ? listPendingJobs() : undefined,
+      backlogsMs: storedJobSync && state.hasKeptJobs
         ? computeBacklogs(state)
         : undefined,
     }),
@@ -360,7 +382,7 @@
       const storedJobsSummary = [...summaries.values()].find(({ pending }) =>
         pending
       );
-      if (!options.runsStoredJobs) otherGroupStoredJobs = storedJobsSummary;
+      otherGroupStoredJobs = storedJobsSummary;
     },
     readGauges: () => ({
       ...describeGauges(state, readMonotonicMs()),
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -27,6 +27,7 @@
 import { createOpenJobs } from "./create_open_jobs.ts";
 import type { EventLog } from "./event_log.ts";
 import { followScheduler } from "./follow_scheduler.ts";
+import { followStoredJobsGroup } from "./follow_stored_jobs_group.ts";
 import { startHeartbeat } from "./start_heartbeat.ts";
 import type { RunningVm } from "./running_vm.ts";
 import { startLinkServer } from "./start_link_server.ts";
@@ -135,12 +136,20 @@
       log,
       findHost,
     });
+    const storedJobsGroup = followStoredJobsGroup({
+      table: ports.table,
+      log,
+      group,
+      groups,
+      onReturned: () => follower?.restartScheduler("storedJobsReturned"),
+    });
     summaries = pollGroupSummaries({
       table: ports.table,
       ticker,
       log,
       groups: others,
       findHost,
+      onRead: storedJobsGroup.review,
     });
     guestLinks = createGuestLinks({
       jobs,
@@ -162,13 +171,12 @@
       readReport,
       onVersionSeen: options.onVersionSeen,
       onHolderFound: (key, row) => holders.set(key, row),
-      startHost: ({ soloPeers, ...start }) =>
-        startSchedulerHost({
+      startHost: ({ soloPeers, ...start }) => {
+        const host = startSchedulerHost({
           ...start,
           isSolo: soloPeers !== undefined,
           hasOtherGroups: others.length > 0,
           readReport,
-          runsStoredJobs: group === groups[0],
           roleKey: keys.scheduler,
           knownEndpointIds: soloPeers
             ? []
@@ -186,7 +194,11 @@
           },
           log,
           configurationVersion: options.configurationVersion,
-        }),
+        });
+        // With other groups it depends on a row that is read at short intervals.
+        if (others.length === 0) host.setRunsStoredJobs(true);
+        return host;
+      },
     });
   }
 
--- a/test/vm/follow_scheduler_test.ts
+++ b/test/vm/follow_scheduler_test.ts
@@ -150,10 +150,10 @@
           log: () => {},
           configurationVersion: () => 1,
           readReport: () => ({ loopDelayMs: 0, slowedMs: 0 }),
-          runsStoredJobs: false,
           roleKey: KEYS.scheduler,
           knownEndpointIds: [],
         });
+        host.setRunsStoredJobs(false);
         hosts.push(host);
         return host;
       },
--- a/test/vm/scheduler_host_test.ts
+++ b/test/vm/scheduler_host_test.ts
@@ -61,11 +61,11 @@
       configurationVersion: () => 1,
       readReport: () => ({ loopDelayMs: 0, slowedMs: 0 }),
       hasKeptJobs: false,
-      runsStoredJobs: false,
       roleKey: "role",
       knownEndpointIds: [],
       readRoleRevision: () => 1,
     });
+    host.setRunsStoredJobs(false);
   });
 
   afterEach(() => {
