Take a doubtful start back when its endpoint lists the end of the run

Cause: a start whose scheduler ended counted as doubtful for good. The doubts were a number without their runs, and ends other than done and failed of runs of earlier schedulers were ignored.

Change: each doubt names its run, in the progress row as well. Any listed end of that run takes it back, also one that is listed before the job is read; the end stays listed until the store has the change. A held task is not given up. Related: a start rejected as older was taken back under the number that it was given for its next start.

Rows: the counts are still written for the version before; rows without run numbers are read as doubts about unknown runs.

--- a/src/group/create_absence_monitor.ts
+++ b/src/group/create_absence_monitor.ts
@@ -13,7 +13,7 @@
   const seen = new Map<string, { revision: number; sinceMs: number }>();
   let observedMs = -Infinity;
 
-  function observeKey(key: string, rows: TableRow[], nowMs: number): void {
+  function recordKey(key: string, rows: TableRow[], nowMs: number): void {
     const revision = rows.find((row) => row.key === key)?.revision ?? 0;
     const known = seen.get(key);
     const isUnbroken = nowMs - observedMs <= MAX_GAP_MS;
@@ -23,7 +23,7 @@
 
   return {
     observe: (rows, nowMs) => {
-      for (const key of keys) observeKey(key, rows, nowMs);
+      for (const key of keys) recordKey(key, rows, nowMs);
       observedMs = nowMs;
     },
     readAbsentMs: (key) => observedMs - (seen.get(key)?.sinceMs ?? observedMs),
--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -6,6 +6,7 @@
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { UNKNOWN_RUN } from "./unknown_run.ts";
 
 /** Adopts a run that another scheduler or a solo VM has started: the task counts as running at that endpoint. */
 export function adoptRun(
@@ -40,7 +41,14 @@
   task.job.mayHaveStarted = true;
   task.job.hasKnownStart = true;
   addRun(endpoint, task);
-  // The start of the run is among the doubtful ones, if there are any.
-  if (task.doubtfulStarts > 0) task.isStartCounted = true;
+  recordDoubtfulRun(task);
   if (isSuspect(task, nowMs)) endpoint.isolatedTask ??= task;
 }
+
+/** The adopted run is the doubtful one whose number was not known, if there is one. */
+function recordDoubtfulRun(task: ScheduledTask): void {
+  const { doubtfulRuns, run } = task;
+  const unknown = doubtfulRuns.indexOf(UNKNOWN_RUN);
+  if (!doubtfulRuns.includes(run) && unknown >= 0) doubtfulRuns[unknown] = run;
+  task.isStartCounted = doubtfulRuns.includes(run);
+}
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -6,6 +6,7 @@
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { clearDoubtfulRun } from "./clear_doubtful_run.ts";
 import { holdTask } from "./hold_task.ts";
 
 /**
@@ -66,6 +67,7 @@
   const ends = state.unmatchedRunEnds.get(task.name)?.ends ?? [];
   for (const { how, run, endId } of ends) {
     recordJobChange(state, task.job, endId);
+    clearDoubtfulRun(state, task, run);
     if (how === "failed" && task.job.order.isKept) {
       recordFailedRun(state, task, { run, endpointId: endId.endpointId });
     }
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -49,9 +49,10 @@
         endpoint.backoffUntilMs,
         nowMs + computeRejectionBackoff(endpoint, reason),
       );
-      if (reason === "olderRun") task.run += REJECTED_RUN_STEP;
       if (reason === "unhealthy") recordFailure(state, endpoint, { nowMs });
       retryTask(state, task, { reason, endpoint, nowMs });
+      // Only now, as the number of the rejected run says which start is no doubt any more.
+      if (reason === "olderRun") task.run += REJECTED_RUN_STEP;
       placeTasks(state, nowMs);
     })
     .with({ type: "unanswered" }, () => {
--- a/src/scheduler/apply_unmatched_run_end.ts
+++ b/src/scheduler/apply_unmatched_run_end.ts
@@ -12,6 +12,7 @@
 import type { RunEnd } from "./run_end.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { clearDoubtfulRun } from "./clear_doubtful_run.ts";
 
 /** How long an endpoint goes on listing a run end of an unknown job, in ms. A stored job is read from the store sooner than this. */
 const UNKNOWN_JOB_END_MS = 2_000;
@@ -29,7 +30,9 @@
   received: { end: RunEnd; nowMs: number },
 ): void {
   const { end, nowMs } = received;
-  if (end.how !== "done" && end.how !== "failed") return;
+  const isResult = end.how === "done" || end.how === "failed";
+  // Any end of a stored job's run shows that its start has not crashed the endpoint. A solo VM knows none of these jobs.
+  if (!isResult && (state.isSolo || !isStoredJobRun(end.run))) return;
   const endId = {
     endpointId: endpoint.row.id,
     processStartMs: endpoint.processStartMs,
@@ -77,7 +80,11 @@
 ): void {
   const { end, endId, nowMs } = received;
   if (task.phase === "done") return;
+  const isSettled = clearDoubtfulRun(state, task, end.run);
+  const isResult = end.how === "done" || end.how === "failed";
+  if (!isResult && !isSettled) return;
   recordJobChange(state, task.job, endId);
+  if (!isResult) return;
   if (end.how === "done") {
     if (task.endpointId !== undefined) {
       const { endpointId, name, run } = task;
--- a/src/scheduler/can_restart.ts
+++ b/src/scheduler/can_restart.ts
@@ -7,8 +7,8 @@
 
 /** Whether a task with lost runs or doubtful starts may be started at all for now. */
 export function canRestart(task: ScheduledTask, nowMs: number): boolean {
-  const { lostRuns, doubtfulStarts } = task;
+  const { lostRuns, doubtfulRuns } = task;
   if (lostRuns.length >= MAX_OPEN_LOSSES) return false;
   if (hasUsedCrashes(task, nowMs)) return false;
-  return lostRuns.length + doubtfulStarts < MAX_DOUBTS;
+  return lostRuns.length + doubtfulRuns.length < MAX_DOUBTS;
 }
--- a/src/scheduler/clear_counted_start.ts
+++ b/src/scheduler/clear_counted_start.ts
@@ -1,6 +1,6 @@
-import { recordLossChange } from "./record_loss_change.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { clearDoubtfulRun } from "./clear_doubtful_run.ts";
 
 /** Takes the task's counted start, if there is one, out of the doubtful ones: what became of it is known. */
 export function clearCountedStart(
@@ -9,6 +9,5 @@
 ): void {
   if (!task.isStartCounted) return;
   task.isStartCounted = false;
-  task.doubtfulStarts -= 1;
-  recordLossChange(state, task.job);
+  clearDoubtfulRun(state, task, task.run);
 }
--- a/src/scheduler/count_held_start.ts
+++ b/src/scheduler/count_held_start.ts
@@ -2,6 +2,7 @@
 import { recordLossChange } from "./record_loss_change.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { UNKNOWN_RUN } from "./unknown_run.ts";
 
 /**
  * Counts the start of a held task by an earlier scheduler as doubtful, once a
@@ -15,7 +16,7 @@
   if (!task.job.order.isKept || task.isHoldCounted) return false;
   task.isHoldCounted = true;
   if (hasLostRuns(task)) return false;
-  task.doubtfulStarts = 1;
+  task.doubtfulRuns = [UNKNOWN_RUN];
   recordLossChange(state, task.job);
   return true;
 }
--- a/src/scheduler/count_start.ts
+++ b/src/scheduler/count_start.ts
@@ -10,7 +10,7 @@
   start: { earlierRun: number; nowMs: number },
 ): void {
   const { earlierRun, nowMs } = start;
-  task.doubtfulStarts += 1;
+  task.doubtfulRuns.push(task.run);
   task.isStartCounted = true;
   if (isWatched(task)) state.suspects.add(task);
   recordLossChange(state, task.job);
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -78,7 +78,7 @@
     stoppedByMs: 0,
     failedRuns: [],
     lostRuns: [],
-    doubtfulStarts: 0,
+    doubtfulRuns: [],
     isStartCounted: false,
     failedEndpointIds: [],
     heldUntilMs: 0,
--- a/src/scheduler/end_crashing_jobs.ts
+++ b/src/scheduler/end_crashing_jobs.ts
@@ -7,17 +7,19 @@
 /** Ends the jobs of tasks that have crashed too many endpoints, and forgets the suspects that have ended. */
 export function endCrashingJobs(state: SchedulerState, nowMs: number): void {
   for (const task of state.suspects) {
-    const { job, phase, lostRuns, doubtfulStarts } = task;
+    const { job, phase, lostRuns, doubtfulRuns } = task;
     if (job.outcome || phase === "done") {
       state.suspects.delete(task);
       continue;
     }
     // A run counts as ended only once its endpoint's lease has expired; until then the endpoint may answer again.
     if (phase !== "waiting" || !hasUsedCrashes(task, nowMs)) continue;
+    // Endpoints that have not answered yet may list how its runs ended.
+    if (task.heldUntilMs > 0) continue;
     recordEvent(state, "taskGivenUp", {
       task: task.name,
       crashes: countCrashes(task, nowMs).all,
-      doubts: doubtfulStarts,
+      doubts: doubtfulRuns.length,
       endpoints: lostRuns.map(({ endpointId }) => endpointId).join(" "),
     });
     const outcome = { type: "failed", reason: "endpointsCrashed" } as const;
--- a/src/scheduler/end_run.ts
+++ b/src/scheduler/end_run.ts
@@ -36,7 +36,7 @@
   });
   // An older run of the same task, if its job is stored, may have been listed as done already.
   if (task.job.outcome || task.phase === "done") return;
-  if (how === "done" || how === "failed") {
+  if (how === "done" || how === "failed" || task.isStartCounted) {
     recordJobChange(state, task.job, endId);
   }
   if (how === "done") {
--- a/src/scheduler/forget_held_start.ts
+++ b/src/scheduler/forget_held_start.ts
@@ -7,7 +7,6 @@
   state: SchedulerState,
   task: ScheduledTask,
 ): void {
-  if (task.doubtfulStarts === 0) return;
-  task.doubtfulStarts -= 1;
+  if (task.doubtfulRuns.pop() === undefined) return;
   recordLossChange(state, task.job);
 }
--- a/src/scheduler/has_used_crashes.ts
+++ b/src/scheduler/has_used_crashes.ts
@@ -11,5 +11,5 @@
 export function hasUsedCrashes(task: ScheduledTask, nowMs: number): boolean {
   const { all, confirmed } = countCrashes(task, nowMs);
   if (confirmed >= MAX_CONFIRMED_CRASHES || all >= MAX_CRASHES) return true;
-  return all + task.doubtfulStarts >= MAX_DOUBTS;
+  return all + task.doubtfulRuns.length >= MAX_DOUBTS;
 }
--- a/src/scheduler/is_suspect.ts
+++ b/src/scheduler/is_suspect.ts
@@ -7,8 +7,8 @@
 
 /** Whether a task may have crashed an endpoint, so that it starts only where nothing else runs. */
 export function isSuspect(task: ScheduledTask, nowMs: number): boolean {
-  const { lostRuns, doubtfulStarts } = task;
-  if (lostRuns.length + doubtfulStarts >= MAX_DOUBTS - 1) return true;
+  const { lostRuns, doubtfulRuns } = task;
+  if (lostRuns.length + doubtfulRuns.length >= MAX_DOUBTS - 1) return true;
   if (lostRuns.length === 0) return false;
   return lostRuns.length >= LOSSES_OF_SUSPECT ||
     countCrashes(task, nowMs).all > 0;
--- a/src/scheduler/review_lost_runs.ts
+++ b/src/scheduler/review_lost_runs.ts
@@ -30,7 +30,7 @@
 /** Counts the start of a stored job's run that goes on as doubtful. */
 function countRunningStart(task: ScheduledTask): void {
   if (!task.job.order.isKept || task.isStartCounted) return;
-  task.doubtfulStarts += 1;
+  task.doubtfulRuns.push(task.run);
   task.isStartCounted = true;
 }
 
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -27,8 +27,8 @@
   failedRuns: number[];
   /** Runs that were lost with their endpoints and may have crashed these. */
   lostRuns: LostRun[];
-  /** Number of starts of a stored job's task after which it is not known whether the endpoint crashed, as the scheduler ended; includes the latest start if that was counted. */
-  doubtfulStarts: number;
+  /** Runs of a stored job's task of which it is not known whether their start crashed the endpoint, as the scheduler ended; `UNKNOWN_RUN` for one whose number is not known. Includes the latest run if its start was counted. */
+  doubtfulRuns: number[];
   /** Whether the latest or the next start is among the doubtful ones. */
   isStartCounted: boolean;
   /** Endpoints where a run failed or a start was not answered, once for each. */
--- a/src/scheduler/stored_progress.ts
+++ b/src/scheduler/stored_progress.ts
@@ -10,6 +10,6 @@
   lostRuns?: (Omit<LostRun, "lostMs" | "ageMs"> & { task: number })[];
   /** Whether no task is known to have started. Default: false. */
   isUnstarted?: boolean;
-  /** Number of doubtful starts of each task that has any, with the task's position in the job. Default: none. */
-  doubtfulStarts?: { task: number; count: number }[];
+  /** Runs whose start is doubtful, with the task's position in the job; `UNKNOWN_RUN` for one whose number is not known. Default: none. */
+  doubtfulRuns?: { task: number; run: number }[];
 };
--- a/src/scheduler/submit_stored_job.ts
+++ b/src/scheduler/submit_stored_job.ts
@@ -84,10 +84,10 @@
     task.lostRuns.push({ ...lost, hasCrashed, lostMs: nowMs, ageMs: 0 });
     state.suspects.add(task);
   }
-  for (const { task: index, count } of progress.doubtfulStarts ?? []) {
+  for (const { task: index, run } of progress.doubtfulRuns ?? []) {
     const task = job.tasks[index];
     if (!task) continue;
-    task.doubtfulStarts = count;
+    task.doubtfulRuns.push(run);
     if (isWatched(task)) state.suspects.add(task);
   }
 }
--- a/src/stored_jobs/encode_doubtful_starts.ts
+++ b/src/stored_jobs/encode_doubtful_starts.ts
@@ -3,7 +3,7 @@
 
 /** Encodes the numbers of doubtful starts of a job's tasks: for each number from 1, which tasks have so many at least. */
 export function encodeDoubtfulStarts(tasks: ScheduledTask[]): string[] {
-  const counts = tasks.map(({ doubtfulStarts }) => doubtfulStarts);
+  const counts = tasks.map(({ doubtfulRuns }) => doubtfulRuns.length);
   const most = counts.reduce((one, other) => Math.max(one, other), 0);
   return Array.from(
     { length: most },
--- a/src/stored_jobs/job_progress_row.ts
+++ b/src/stored_jobs/job_progress_row.ts
@@ -24,4 +24,6 @@
   isUnstarted?: true;
   /** Tasks with doubtful starts, as in `done`: those with one at least, then those with two at least, and so on. */
   doubtfulStarts?: string[];
+  /** The run numbers of doubtful starts, as far as they are known, each with its tasks as in `failedRuns`. Absent in the rows of earlier versions. */
+  doubtfulRuns?: [run: number, tasks: string][];
 };
--- a/src/vm/follow_stored_jobs_group.ts
+++ b/src/vm/follow_stored_jobs_group.ts
@@ -64,7 +64,7 @@
   }
 
   /** Returns the stored jobs to a group whose scheduler runs them although the row names this group: it is of a version that does not know the row. */
-  async function returnTo(
+  async function handBack(
     host: SchedulerHost,
     other: string,
     revision: number,
@@ -95,7 +95,7 @@
       host.setRunsStoredJobs(isOwn);
       if (!isOwn) return await takeIfAbsent(host, holder, scan);
       const other = [...summaries].find(([, { pending }]) => pending);
-      if (other) await returnTo(host, other[0], holder.revision);
+      if (other) await handBack(host, other[0], holder.revision);
     },
   };
 }
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -86,6 +86,40 @@
     ]);
 }
 
+/** Creates the faults of a history in which all schedulers end again and again while long runs go on, and an endpoint's process is younger than the jobs. */
+export function createRepeatedLossFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const losses = fc.record({
+    firstMs: fc.integer({ min: 1_500, max: 6_000 }),
+    gapsMs: fc.array(fc.integer({ min: 1_200, max: 3_500 }), {
+      minLength: 4,
+      maxLength: 8,
+    }),
+  }).map(({ firstMs, gapsMs }) => {
+    let atMs = firstMs;
+    return gapsMs.map((gapMs): Fault => {
+      atMs += gapMs;
+      return { atMs, forMs: 100, endpoint: 0, kind: "powerLoss" };
+    });
+  });
+  const restart = fc.record({
+    atMs: fc.integer({ min: 500, max: 8_000 }),
+    forMs: fc.constant(500),
+    endpoint: fc.integer({ min: 0, max: 3 }),
+    kind: fc.constant<Fault["kind"]>("processRestart"),
+  });
+  const others = createArray(["cut", "late", "storeDown"], {
+    minLength: 0,
+    maxLength: 2,
+    maxDurationMs: 3_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(losses, restart, others).map(([powerLosses, ...rest]) => [
+    { atMs: 0, forMs: 30_000, endpoint: 0, kind: "runsLong" },
+    ...powerLosses,
+    ...rest.flat(),
+  ]);
+}
+
 /** Creates the faults of a history in which the store is down, while all runs may fail and the scheduler may be replaced; endpoints list few run ends at a time. */
 export function createStoreFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const outage = fc.record({
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -1,4 +1,4 @@
-/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, ordersSlow, tasksCrash and crashesEndScheduler ignore it. */
+/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, ordersSlow, runsLong, tasksCrash and crashesEndScheduler ignore it. */
 export type Fault = {
   atMs: number;
   forMs: number;
@@ -16,6 +16,8 @@
     | "unlisted"
     /** Orders are given up after 500 ms in place of 40 ms, as those to an endpoint that has not answered before. */
     | "ordersSlow"
+    /** Runs that begin take up to 5 s, so that they outlast schedulers. */
+    | "runsLong"
     /** Every run fails. */
     | "runsFail"
     /** No run ends by itself. */
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -6,6 +6,7 @@
   createFaultArbitrary,
   createLinkFaultArbitrary,
   createOverlappingCutFaultArbitrary,
+  createRepeatedLossFaultArbitrary,
   createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import type { Fault } from "./fault.ts";
@@ -26,6 +27,7 @@
   former: createEarlierSchedulerFaultArbitrary(),
   store: createStoreFaultArbitrary(),
   cuts: createOverlappingCutFaultArbitrary(),
+  losses: createRepeatedLossFaultArbitrary(),
   crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -65,6 +65,9 @@
 /** Factor of run times in histories with links to earlier schedulers: runs outlast the waits for runs that another scheduler started. */
 const EARLIER_LINK_RUN_FACTOR = 12;
 
+/** Factor of run times while runs are long. */
+const LONG_RUN_FACTOR = 12;
+
 type StoredJob = {
   order: JobOrder;
   acceptedMs: number;
@@ -84,7 +87,10 @@
   const maxListedEnds = hasOutages
     ? MAX_LISTED_ENDS_WITHOUT_STORE
     : MAX_LISTED_ENDS;
-  const hasCrashes = faults.some(({ kind }) => kind === "tasksCrash");
+  /** Whether the age of a job matters to the scheduler, which compares it with that of the endpoints' processes. */
+  const hasAges = faults.some(({ kind }) =>
+    kind === "tasksCrash" || kind === "runsLong"
+  );
   const hasEarlierLinks = faults.some(({ kind }) => kind === "linkToEarlier");
   const events = new BinaryHeap<() => void>();
   const stored = new Map<string, StoredJob>();
@@ -151,6 +157,10 @@
     });
   }
 
+  function areRunsLong(): boolean {
+    return [...activeFaults].some(({ kind }) => kind === "runsLong");
+  }
+
   function isStoreDown(): boolean {
     return [...activeFaults].some(({ kind }) => kind === "storeDown");
   }
@@ -229,7 +239,8 @@
     receiveEffect: (host, effect) => vms.receiveEffect(host, effect),
     hasRole: (host) => host === current,
     receiveHeartbeat: raiseEpoch,
-    readWorkMs: () => runFactor * (30 + random() * 400),
+    readWorkMs: () =>
+      runFactor * (areRunsLong() ? LONG_RUN_FACTOR : 1) * (30 + random() * 400),
     listRows: () => isStoreDown() ? undefined : listEndpointRows(),
   };
 
@@ -284,7 +295,7 @@
     const { job, mayHaveRun } = found;
     const { progress, acceptedMs } = job;
     // Only where its age matters, as it changes when other histories' tasks start.
-    const ageMs = hasCrashes ? nowMs - acceptedMs : 0;
+    const ageMs = hasAges ? nowMs - acceptedMs : 0;
     const order = { ...job.order, ageMs };
     host.applyDecision((atMs) => {
       submitStoredJob(host.state, order, {
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -7,6 +7,7 @@
   createFaultArbitrary,
   createLinkFaultArbitrary,
   createOverlappingCutFaultArbitrary,
+  createRepeatedLossFaultArbitrary,
   createStoreFaultArbitrary,
 } from "./create_fault_arbitrary.ts";
 import { runSchedulerHistory } from "./run_scheduler_history.ts";
@@ -18,6 +19,7 @@
 const STORE_HISTORIES = 40;
 const CRASH_HISTORIES = 40;
 const CUT_HISTORIES = 40;
+const LOSS_HISTORIES = 25;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -80,6 +82,19 @@
   );
 });
 
+test("no history in which all schedulers end again and again violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createRepeatedLossFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: LOSS_HISTORIES },
+  );
+});
+
 test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
--- a/test/stored_jobs/progress_test.ts
+++ b/test/stored_jobs/progress_test.ts
@@ -47,7 +47,7 @@
     failedRuns: [],
     lostRuns: [],
     isUnstarted: false,
-    doubtfulStarts: [],
+    doubtfulRuns: [],
   });
 });
 
@@ -70,8 +70,8 @@
     createLostRun("e1", true),
     createLostRun("e2", false),
   );
-  job.tasks[9].doubtfulStarts = 3;
-  job.tasks[19].doubtfulStarts = 1;
+  job.tasks[9].doubtfulRuns.push(0, 100_002, 200_002);
+  job.tasks[19].doubtfulRuns.push(100_002);
 
   const progress = decodeProgress(encodeProgress(job), job.order);
 
@@ -79,9 +79,11 @@
     `${task} ${endpointId} ${hasCrashed}`
   );
   assert.deepEqual(lost, ["0 e1 true", "9 e1 true", "9 e2 false"]);
-  assert.deepEqual(progress.doubtfulStarts, [
-    { task: 9, count: 3 },
-    { task: 19, count: 1 },
+  assert.deepEqual(progress.doubtfulRuns, [
+    { task: 9, run: 0 },
+    { task: 9, run: 100_002 },
+    { task: 19, run: 100_002 },
+    { task: 9, run: 200_002 },
   ]);
 });
 
@@ -106,7 +108,9 @@
     }
   });
 
-  for (const task of job.tasks) task.doubtfulStarts = 5;
+  for (const { doubtfulRuns } of job.tasks) {
+    for (let run = 1; run <= 5; run += 1) doubtfulRuns.push(100_000 * run + 2);
+  }
 
   const text = JSON.stringify(encodeProgress(job));
   assert.ok(text.length < MAX_ROW_BYTES * 3 / 4, `${text.length} bytes`);
