Keep an ended stored job until the store has confirmed its end

Cause: an ended job was evicted after 10 s unless it was in the set of unsaved jobs, and a write takes it out of that set before the store has confirmed anything. The row was still there, so the next reading submitted the job as new. A reading that began before the end was stored had the same effect, as the time counted from the end and not from the write.

Change: an ended stored job stays until its end is confirmed, 10 s longer, and while rows of stored jobs are being read. One function records what the store has confirmed.

--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -3,6 +3,7 @@
 import { endJob } from "./end_job.ts";
 import { dropRuns } from "./drop_runs.ts";
 import { stopStragglers } from "./stop_stragglers.ts";
+import { canEvictJob } from "./can_evict_job.ts";
 import { computeGracePeriod } from "./compute_grace_period.ts";
 import { computeMinClock } from "./compute_min_clock.ts";
 import { expireLeases } from "./expire_leases.ts";
@@ -23,8 +24,8 @@
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** How long an ended or passed job stays in memory for callers that send their request again, in ms. */
-const ENDED_JOB_RETENTION_MS = 10_000;
+/** How long a passed job and an unmatched run end stay in memory, in ms. */
+const RETENTION_MS = 10_000;
 /** Time after which foreign runs are stopped if no VM has resubmitted their jobs, in ms. After a takeover VMs resubmit much sooner. */
 const FOREIGN_RUN_GRACE_MS = 400;
 /** Time after which a solo VM stops foreign runs, in ms: none, because these runs belong to another scheduler, which is still active. */
@@ -147,7 +148,7 @@
 /** Evicts unmatched run ends after the retention period, but not those that may belong to a stored job before the stored jobs have been read. */
 function evictUnmatchedRunEnds(state: SchedulerState, nowMs: number): void {
   for (const [task, { ends, receivedMs }] of state.unmatchedRunEnds) {
-    if (nowMs - receivedMs <= ENDED_JOB_RETENTION_MS) continue;
+    if (nowMs - receivedMs <= RETENTION_MS) continue;
     const isNeeded = hasUnreadStoredJobs(state) &&
       ends.some(({ run }) => isStoredJobRun(run));
     if (!isNeeded) state.unmatchedRunEnds.delete(task);
@@ -158,10 +159,7 @@
 function endAndEvictJobs(state: SchedulerState, nowMs: number): void {
   for (const job of state.jobs.values()) {
     if (job.outcome) {
-      if (
-        nowMs - job.endedMs <= ENDED_JOB_RETENTION_MS ||
-        state.unsaved.has(job)
-      ) continue;
+      if (!canEvictJob(state, job, nowMs)) continue;
       state.jobs.delete(job.order.id);
       releaseTasks(state, job);
     } else if (isAbandoned(state, job, nowMs)) {
@@ -174,7 +172,7 @@
   evictUnmatchedRunEnds(state, nowMs);
   for (const [id, { passedMs }] of state.passedJobs) {
     // The map is in the order in which jobs were passed, so all further ones are newer.
-    if (nowMs - passedMs <= ENDED_JOB_RETENTION_MS) break;
+    if (nowMs - passedMs <= RETENTION_MS) break;
     state.passedJobs.delete(id);
   }
 }
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -40,6 +40,7 @@
     // A solo VM is not notified when the first stored job is accepted.
     hasKeptJobs: isSolo || hasKeptJobs,
     areStoredJobsRead: options.areStoredJobsRead ?? true,
+    isReadingStoredJobs: false,
     unsaved: new Set(),
     missingEndpoints: new Map(
       options.knownEndpointIds?.map((id) => [id, options.nowMs]),
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -29,6 +29,8 @@
   outcome?: JobOutcome;
   /** When the job ended, in ms; 0 before that. */
   endedMs: number;
+  /** When the store confirmed the end of the stored job, in ms; absent before that. */
+  endStoredMs?: number;
   /** Run ends of a stored job whose effect is not in the store yet. */
   unsavedEnds: RunEndId[];
   /** Number of changes of the tasks' lost runs, and how many of these are in the store. */
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -44,7 +44,9 @@
   hasKeptJobs: boolean;
   /** Whether the stored jobs have been read; before that no run end that may belong to one is acknowledged. */
   areStoredJobsRead: boolean;
-  /** Stored jobs with changes that are not in the store yet. */
+  /** Whether rows of stored jobs are being read, or have been read and not been applied yet. Meanwhile no stored job is evicted, as its row may be among them. */
+  isReadingStoredJobs: boolean;
+  /** Stored jobs with changes that are not in the store yet, other than those that are being written. */
   unsaved: Set<ScheduledJob>;
   /** Ids of endpoints that left the store's list while they were not usable, with the time, in ms. Other schedulers may still reach them. */
   missingEndpoints: Map<string, number>;
--- a/src/stored_jobs/save_stored_jobs.ts
+++ b/src/stored_jobs/save_stored_jobs.ts
@@ -2,7 +2,7 @@
 import type { RunEndId } from "../scheduler/run_end_id.ts";
 import type { ScheduledJob } from "../scheduler/scheduled_job.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
-import { acknowledgeSavedEnds } from "../scheduler/acknowledge_saved_ends.ts";
+import { confirmJobStored } from "../scheduler/confirm_job_stored.ts";
 import type { Table } from "../store/table.ts";
 import type { TableOperation } from "../store/table_operation.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
@@ -86,15 +86,15 @@
   }
 
   function confirm(save: Save, revision: number): void {
-    const { job, ends, isEnd } = save;
+    const { job, isEnd } = save;
     const { id } = job.order;
-    job.savedLossChanges = save.lossChanges;
+    const nowMs = readMonotonicMs();
     if (isEnd) {
       progressRevisions.delete(id);
-      const tookMs = Math.round(readMonotonicMs() - job.endedMs);
+      const tookMs = Math.round(nowMs - job.endedMs);
       log("endStored", { job: id, tookMs });
     } else progressRevisions.set(id, revision);
-    acknowledgeSavedEnds(state, ends);
+    confirmJobStored(state, job, { ...save, nowMs });
   }
 
   async function write(saves: Save[]): Promise<void> {
--- a/src/stored_jobs/watch_stored_jobs.ts
+++ b/src/stored_jobs/watch_stored_jobs.ts
@@ -121,6 +121,16 @@
     });
   }
 
+  /** Runs a reading of rows; no stored job is evicted until they are applied. */
+  async function runReading(read: () => Promise<void>): Promise<void> {
+    state.isReadingStoredJobs = true;
+    try {
+      await read();
+    } finally {
+      state.isReadingStoredJobs = false;
+    }
+  }
+
   /** Reads all stored jobs; jobs that the scheduler already has stay as they are. */
   async function readAllJobs(): Promise<void> {
     const jobs = await table.scan(STORED_JOB_KEYS.jobs, 0);
@@ -183,10 +193,10 @@
   async function run(): Promise<void> {
     while (!isStopped) {
       try {
-        if (watchedRevision === 0 || isStoreLost) await readAllJobs();
+        if (watchedRevision === 0 || isStoreLost) await runReading(readAllJobs);
         if (isStoreLost) log("storeRegained", { watch: "storedJobs" });
         isStoreLost = false;
-        await readPostponedJobs();
+        if (state.postponedJobs.size > 0) await runReading(readPostponedJobs);
         if (!isStopped) await watch();
       } catch (thrown) {
         const { message } = readError(thrown);
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -158,6 +158,38 @@
   ).map(([outages, others]) => [...outages.flat(), ...others]);
 }
 
+/** Creates the faults of a history in which the store is away for longer than ended jobs are kept, refusing calls and leaving them unanswered by turns. */
+export function createLongOutageFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const part = fc.record({
+    forMs: fc.integer({ min: 2_500, max: 4_500 }),
+    kind: fc.constantFrom<Fault["kind"]>("storeDown", "storeSilent"),
+  });
+  const outage = fc.record({
+    firstMs: fc.integer({ min: 1_000, max: 9_000 }),
+    parts: fc.array(part, { minLength: 3, maxLength: 5 }),
+  }).map(({ firstMs, parts }): Fault[] => {
+    let atMs = firstMs;
+    const faults = parts.map(({ forMs, kind }) => {
+      const fault = { atMs, forMs, endpoint: 0, kind };
+      atMs += forMs;
+      return fault;
+    });
+    return [...faults, {
+      atMs,
+      forMs: 2_000,
+      endpoint: 0,
+      kind: "storeSilent",
+    }];
+  });
+  const others = createArray(["cancel", "runsFail", "cut"], {
+    minLength: 0,
+    maxLength: 4,
+    maxDurationMs: 5_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(outage, others).map((faults) => faults.flat());
+}
+
 /** Creates the faults of a history in which tasks crash the endpoints that start them. */
 export function createCrashFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const crashes = createArray(["tasksCrash"], {
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -34,6 +34,8 @@
     | "powerLoss"
     /** The store refuses every call: nothing is stored or read, and no other scheduler takes over. Endpoints list few run ends at a time in histories with this fault. */
     | "storeDown"
+    /** The store answers no call: writes that are under way fail after their time-out, and the scheduler reads all stored jobs again afterwards. */
+    | "storeSilent"
     /** A client cancels the newest stored job. */
     | "cancel"
     /** A VM's link to the scheduler is closed; the VM opens no other until the end of the fault. */
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -5,6 +5,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createLongOutageFaultArbitrary,
   createOverlappingCutFaultArbitrary,
   createRepeatedLossFaultArbitrary,
   createStoreFaultArbitrary,
@@ -28,6 +29,7 @@
   store: createStoreFaultArbitrary(),
   cuts: createOverlappingCutFaultArbitrary(),
   losses: createRepeatedLossFaultArbitrary(),
+  outages: createLongOutageFaultArbitrary(),
   crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -6,7 +6,7 @@
 import type { JobOrder } from "../../src/scheduler/job_order.ts";
 import type { JobOutcome } from "../../src/scheduler/job_outcome.ts";
 import { parseTaskName } from "../../src/scheduler/parse_task_name.ts";
-import { acknowledgeSavedEnds } from "../../src/scheduler/acknowledge_saved_ends.ts";
+import { confirmJobStored } from "../../src/scheduler/confirm_job_stored.ts";
 import { submitStoredJob } from "../../src/scheduler/submit_stored_job.ts";
 import { reclaimEndpoints } from "../../src/scheduler/reclaim_endpoints.ts";
 import { BinaryHeap } from "../../src/utils/binary_heap.ts";
@@ -42,6 +42,8 @@
 /** Shortest network delay of a request or an answer; up to 1 ms is added. */
 const MIN_ONE_WAY_DELAY_MS = 1.5;
 const STORE_CALL_MS = 5;
+/** Time after which a call that the store does not answer fails. */
+const STORE_TIMEOUT_MS = 1_500;
 /** Time from the start of a task that crashes its endpoint to the crash, and from there to the next process. */
 const CRASH_DELAY_MS = 10;
 const CRASH_DOWNTIME_MS = 3_000;
@@ -83,7 +85,9 @@
 ): { violations: string[]; ended: Record<string, number> } {
   const random = createRandom(seed);
   const hasLinkFaults = faults.some(({ kind }) => kind.startsWith("link"));
-  const hasOutages = faults.some(({ kind }) => kind === "storeDown");
+  const hasSilences = faults.some(({ kind }) => kind === "storeSilent");
+  const hasOutages = !hasSilences &&
+    faults.some(({ kind }) => kind === "storeDown");
   const maxListedEnds = hasOutages
     ? MAX_LISTED_ENDS_WITHOUT_STORE
     : MAX_LISTED_ENDS;
@@ -161,8 +165,14 @@
     return [...activeFaults].some(({ kind }) => kind === "runsLong");
   }
 
+  function isStoreSilent(): boolean {
+    return [...activeFaults].some(({ kind }) => kind === "storeSilent");
+  }
+
   function isStoreDown(): boolean {
-    return [...activeFaults].some(({ kind }) => kind === "storeDown");
+    return [...activeFaults].some(({ kind }) =>
+      kind === "storeDown" || kind === "storeSilent"
+    );
   }
 
   /** Calls a function as soon as the store takes calls. */
@@ -288,6 +298,20 @@
     host.state.areStoredJobsRead = true;
   }
 
+  /** Reads all stored jobs again, as a scheduler does that has lost the store; jobs that it knows stay as they are. */
+  function readStoredAgain(): void {
+    const host = current;
+    if (!host || isStoreDown()) return;
+    host.state.isReadingStoredJobs = true;
+    const found = [...stored.values()].filter(({ end }) => !end);
+    runAfter(STORE_CALL_MS + random() * 20, () => {
+      if (host.isAlive) {
+        for (const job of found) submitStored(host, { job, mayHaveRun: true });
+      }
+      host.state.isReadingStoredJobs = false;
+    });
+  }
+
   function submitStored(
     host: FuzzHost,
     found: { job: StoredJob; mayHaveRun: boolean },
@@ -318,7 +342,7 @@
   function save(host: FuzzHost): void {
     if (!host.isAlive) return;
     checkCounts(host);
-    if (isStoreDown()) {
+    if (isStoreDown() && !hasSilences) {
       runAfter(STORE_RETRY_MS, () => save(host));
       return;
     }
@@ -336,10 +360,12 @@
         progress: encodeProgress(job),
       };
     });
-    runAfter(STORE_CALL_MS, () => {
+    const isLost = isStoreDown();
+    const callMs = isStoreSilent() ? STORE_TIMEOUT_MS : STORE_CALL_MS;
+    runAfter(callMs, () => {
       if (!host.isAlive) return;
       // The store refuses the write of an earlier scheduler.
-      if (host !== current) {
+      if (host !== current || isLost) {
         for (const { job, runEnds } of saves) {
           state.unsaved.add(job);
           job.unsavedEnds.push(...runEnds);
@@ -347,11 +373,15 @@
         saves.length = 0;
       }
       for (const { job, runEnds, end, lossChanges, progress } of saves) {
-        job.savedLossChanges = lossChanges;
         const row = stored.get(job.order.id) as StoredJob;
         row.progress = progress;
         row.end ??= end;
-        acknowledgeSavedEnds(state, runEnds);
+        confirmJobStored(state, job, {
+          ends: runEnds,
+          isEnd: end !== undefined,
+          lossChanges,
+          nowMs,
+        });
       }
       runAfter(SAVE_INTERVAL_MS, () => save(host));
     });
@@ -421,6 +451,7 @@
     activeFaults.add(fault);
     runAfter(fault.forMs, () => {
       activeFaults.delete(fault);
+      if (hasSilences && fault.kind.startsWith("store")) readStoredAgain();
       endpoint.isFailing = isFaulty("runsFail", endpoint);
       endpoint.isHanging = isFaulty("runsHang", endpoint);
     });
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -6,6 +6,7 @@
   createEarlierSchedulerFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
+  createLongOutageFaultArbitrary,
   createOverlappingCutFaultArbitrary,
   createRepeatedLossFaultArbitrary,
   createStoreFaultArbitrary,
@@ -20,6 +21,7 @@
 const CRASH_HISTORIES = 40;
 const CUT_HISTORIES = 40;
 const LOSS_HISTORIES = 25;
+const OUTAGE_HISTORIES = 25;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -95,6 +97,19 @@
   );
 });
 
+test("no history in which the store is away for longer than ended jobs are kept violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createLongOutageFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: OUTAGE_HISTORIES },
+  );
+});
+
 test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
