Run what an earlier version accepted, and keep every progress row within the store's limit

Cause: the limits of submissions also failed stored jobs that a version before had accepted; and the progress of a job at the limit of 10,000 tasks could exceed the store's limit of a row, in which case the store refuses the whole write and so the jobs beside it.

Failed and doubtful runs have a bounded part of the row.

Result: progress_test.ts has the largest job with failed and doubtful runs of each task; it and oversized_input_test.ts pass.

--- a/src/scheduler/find_order_fault.ts
+++ b/src/scheduler/find_order_fault.ts
@@ -1,13 +1,19 @@
 import { isPlainObject } from "../utils/is_plain_object.ts";
 import { findStepsFault } from "./find_steps_fault.ts";
-import { JOB_LIMITS } from "./job_limits.ts";
+import type { JobLimits } from "./job_limits.ts";
 import type { OrderFault } from "./order_fault.ts";
 
 const TEXTS = ["id", "route", "service"];
 const AMOUNTS = ["priority", "maxAttempts", "stretch", "slackMs", "waitMs"];
 
+/** Longest text that names something, in characters. */
+const MAX_TEXT_LENGTH = 500;
+
 /** Finds why a job order from outside this process cannot be carried out; undefined if it can. The work is bounded by the limits, not by what the order asks for. */
-export function findOrderFault(order: unknown): OrderFault | undefined {
+export function findOrderFault(
+  order: unknown,
+  limits: JobLimits,
+): OrderFault | undefined {
   if (!isPlainObject(order)) return createFault("the order is no object");
   const { spec, steps } = order;
   const badText = TEXTS.find((key) => !isText(order[key]));
@@ -15,11 +21,11 @@
   const badAmount = AMOUNTS.find((key) => !isAmount(order[key]));
   if (badAmount) return createFault(`${badAmount} is not a number`);
   if (typeof spec !== "string") return createFault("spec must be a text");
-  if (Buffer.byteLength(spec) > JOB_LIMITS.specBytes) {
-    const found = `spec has more than ${JOB_LIMITS.specBytes} bytes`;
+  if (Buffer.byteLength(spec) > limits.specBytes) {
+    const found = `spec has more than ${limits.specBytes} bytes`;
     return { kind: "tooLarge", found };
   }
-  return findStepsFault(steps);
+  return findStepsFault(steps, limits);
 }
 
 function createFault(found: string): OrderFault {
@@ -27,7 +33,7 @@
 }
 
 function isText(value: unknown): boolean {
-  return typeof value === "string" && value.length <= JOB_LIMITS.textLength;
+  return typeof value === "string" && value.length <= MAX_TEXT_LENGTH;
 }
 
 function isAmount(value: unknown): boolean {
--- a/src/scheduler/find_steps_fault.ts
+++ b/src/scheduler/find_steps_fault.ts
@@ -1,16 +1,21 @@
 import { isPlainObject } from "../utils/is_plain_object.ts";
-import { JOB_LIMITS } from "./job_limits.ts";
+import type { JobLimits } from "./job_limits.ts";
 import type { OrderFault } from "./order_fault.ts";
 
+/** Longest text that names something, in characters. */
+const MAX_TEXT_LENGTH = 500;
 const OPTIONAL_TEXTS = ["rack", "requiredLabel"];
 
 /** Finds why the steps of a job order cannot be carried out; undefined if they can. */
-export function findStepsFault(steps: unknown): OrderFault | undefined {
+export function findStepsFault(
+  steps: unknown,
+  limits: JobLimits,
+): OrderFault | undefined {
   if (!Array.isArray(steps) || steps.length === 0) {
     return { kind: "malformed", found: "steps must list one step or more" };
   }
-  if (steps.length > JOB_LIMITS.steps) {
-    return createLimitFault("steps", JOB_LIMITS.steps);
+  if (steps.length > limits.steps) {
+    return createLimitFault("steps", limits.steps);
   }
   let tasks = 0;
   let dependencies = 0;
@@ -21,11 +26,11 @@
     }
     tasks += step.count;
     dependencies += step.after.length;
-    if (tasks > JOB_LIMITS.tasks) {
-      return createLimitFault("tasks", JOB_LIMITS.tasks);
+    if (tasks > limits.tasks) {
+      return createLimitFault("tasks", limits.tasks);
     }
-    if (dependencies > JOB_LIMITS.dependencies) {
-      return createLimitFault("entries in after", JOB_LIMITS.dependencies);
+    if (dependencies > limits.dependencies) {
+      return createLimitFault("entries in after", limits.dependencies);
     }
   }
   return undefined;
@@ -65,5 +70,5 @@
 
 function isOptionalText(value: unknown): boolean {
   return value === undefined || value === null ||
-    typeof value === "string" && value.length <= JOB_LIMITS.textLength;
+    typeof value === "string" && value.length <= MAX_TEXT_LENGTH;
 }
--- a/src/scheduler/refuse_order.ts
+++ b/src/scheduler/refuse_order.ts
@@ -5,6 +5,7 @@
 import type { JobOutcome } from "./job_outcome.ts";
 import { recordEvent } from "./record_event.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
+import { SUBMISSION_LIMITS } from "./submission_limits.ts";
 
 /** Time after which a caller may retry when there is no space for its job, in ms: about the time in which the queue of a burst drains. */
 const RETRY_AFTER_MS = 1_000;
@@ -34,7 +35,7 @@
   state: SchedulerState,
   order: JobOrder,
 ): "malformed" | "noSpace" | undefined {
-  const fault = findOrderFault(order);
+  const fault = findOrderFault(order, SUBMISSION_LIMITS);
   if (fault) {
     recordEvent(state, "orderRefused", { job: order.id, found: fault.found });
     return "malformed";
--- a/src/stored_jobs/decode_stored_job.ts
+++ b/src/stored_jobs/decode_stored_job.ts
@@ -1,5 +1,6 @@
 import { findOrderFault } from "../scheduler/find_order_fault.ts";
 import type { JobOrder } from "../scheduler/job_order.ts";
+import { STORED_JOB_LIMITS } from "../scheduler/stored_job_limits.ts";
 import type { TableRow } from "../store/table_row.ts";
 import { isPlainObject } from "../utils/is_plain_object.ts";
 
@@ -20,7 +21,7 @@
   if (order.id !== id) {
     return { type: "malformed", found: "the row belongs to another job" };
   }
-  const fault = findOrderFault(order);
+  const fault = findOrderFault(order, STORED_JOB_LIMITS);
   if (fault) return { type: "malformed", found: fault.found };
   return { type: "job", order: order as JobOrder, acceptedAtMs };
 }
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -6,8 +6,9 @@
 import { encodeRuns } from "./encode_runs.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
 
-/** Most run numbers of doubtful starts that a row has, so that it fits beside the other progress of a large job. Others are counted only. */
-const MAX_DOUBTFUL_RUNS = 8;
+/** Bytes of the failed runs, and of the doubtful ones, in a row, so that the row of a large job fits into the store: a write that the store refuses keeps the jobs beside it from being saved. Of doubtful runs beyond that only the number is stored. */
+const MAX_FAILED_BYTES = 30_000;
+const MAX_DOUBTFUL_BYTES = 5_000;
 
 /** Encodes the progress that a later scheduler needs of a job that has not ended. */
 export function encodeProgress(job: ScheduledJob): JobProgressRow {
@@ -16,10 +17,14 @@
   const doubtfulStarts = encodeDoubtfulStarts(tasks);
   const doubtfulRuns = encodeRuns(
     tasks.map((task) => task.doubtfulRuns.filter((run) => run !== UNKNOWN_RUN)),
-  ).slice(-MAX_DOUBTFUL_RUNS);
+    MAX_DOUBTFUL_BYTES,
+  );
   return {
     done: encodeFlags(tasks.map(({ phase }) => phase === "done")),
-    failedRuns: encodeRuns(tasks.map(({ failedRuns }) => failedRuns)),
+    failedRuns: encodeRuns(
+      tasks.map(({ failedRuns }) => failedRuns),
+      MAX_FAILED_BYTES,
+    ),
     ...(lostRuns.length > 0 && { lostRuns }),
     ...(doubtfulStarts.length > 0 && { doubtfulStarts }),
     ...(doubtfulRuns.length > 0 && { doubtfulRuns }),
--- a/test/stored_jobs/progress_test.ts
+++ b/test/stored_jobs/progress_test.ts
@@ -115,3 +115,17 @@
   const text = JSON.stringify(encodeProgress(job));
   assert.ok(text.length < MAX_ROW_BYTES * 3 / 4, `${text.length} bytes`);
 });
+
+// The store refuses a row that is too large, and with it the rows of the same write.
+test("the progress of the largest job that was ever accepted fits into a row, whatever its runs were", () => {
+  const job = createJob(30_000);
+  job.tasks.forEach(({ failedRuns, doubtfulRuns }, index) => {
+    for (let run = 1; run <= 3; run += 1) {
+      failedRuns.push(100_000 * run + 2 * (1 + index % 20));
+      doubtfulRuns.push(100_000 * run + 2 * (1 + index % 20));
+    }
+  });
+
+  const text = JSON.stringify(encodeProgress(job));
+  assert.ok(text.length < MAX_ROW_BYTES, `${text.length} bytes`);
+});
