Split the reading of a stored job's row from the watch, and the texts' check

Cause: watch_stored_jobs.ts had grown to two tasks; two files had the same check; a scheduler that lost the stored jobs counted them as read before it was stopped. Change: take_job_row.ts, is_short_text.ts; the scheduler leaves that as it is.

--- a/src/scheduler/find_order_fault.ts
+++ b/src/scheduler/find_order_fault.ts
@@ -1,14 +1,12 @@
 import { isPlainObject } from "../utils/is_plain_object.ts";
 import { findStepsFault } from "./find_steps_fault.ts";
+import { isShortText } from "./is_short_text.ts";
 import type { JobLimits } from "./job_limits.ts";
 import type { OrderFault } from "./order_fault.ts";
 
 const TEXTS = ["id", "route", "service"];
 const AMOUNTS = ["priority", "maxAttempts", "stretch", "slackMs", "waitMs"];
 
-/** Longest text that names something, in characters. */
-const MAX_TEXT_LENGTH = 500;
-
 /** Finds why a job order from outside this process cannot be carried out; undefined if it can. The work is bounded by the limits, not by what the order asks for. */
 export function findOrderFault(
   order: unknown,
@@ -16,7 +14,7 @@
 ): OrderFault | undefined {
   if (!isPlainObject(order)) return createFault("the order is no object");
   const { spec, steps } = order;
-  const badText = TEXTS.find((key) => !isText(order[key]));
+  const badText = TEXTS.find((key) => !isShortText(order[key]));
   if (badText) return createFault(`${badText} is not a short text`);
   const badAmount = AMOUNTS.find((key) => !isAmount(order[key]));
   if (badAmount) return createFault(`${badAmount} is not a number`);
@@ -32,10 +30,6 @@
   return { kind: "malformed", found };
 }
 
-function isText(value: unknown): boolean {
-  return typeof value === "string" && value.length <= MAX_TEXT_LENGTH;
-}
-
 function isAmount(value: unknown): boolean {
   return typeof value === "number" && Number.isFinite(value);
 }
--- a/src/scheduler/find_steps_fault.ts
+++ b/src/scheduler/find_steps_fault.ts
@@ -1,9 +1,8 @@
 import { isPlainObject } from "../utils/is_plain_object.ts";
+import { isShortText } from "./is_short_text.ts";
 import type { JobLimits } from "./job_limits.ts";
 import type { OrderFault } from "./order_fault.ts";
 
-/** Longest text that names something, in characters. */
-const MAX_TEXT_LENGTH = 500;
 const OPTIONAL_TEXTS = ["rack", "requiredLabel"];
 
 /** Finds why the steps of a job order cannot be carried out; undefined if they can. */
@@ -69,6 +68,5 @@
 }
 
 function isOptionalText(value: unknown): boolean {
-  return value === undefined || value === null ||
-    typeof value === "string" && value.length <= MAX_TEXT_LENGTH;
+  return value === undefined || value === null || isShortText(value);
 }
--- a/src/stored_jobs/watch_stored_jobs.ts
+++ b/src/stored_jobs/watch_stored_jobs.ts
@@ -1,22 +1,18 @@
 import { setImmediate } from "node:timers/promises";
 import { readError } from "../errors/read_error.ts";
 import { cancelJob } from "../scheduler/cancel_job.ts";
-import { countTasks } from "../scheduler/count_tasks.ts";
-import { failMalformedJob } from "../scheduler/fail_malformed_job.ts";
 import { hasSpaceForTasks } from "../scheduler/has_space_for_tasks.ts";
 import { placeTasks } from "../scheduler/place_tasks.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
-import { submitStoredJob } from "../scheduler/submit_stored_job.ts";
 import type { TableRow } from "../store/table_row.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
 import type { EventLog } from "../vm/event_log.ts";
 import type { WatchableTable } from "../vm/watchable_table.ts";
-import { decodeProgress } from "./decode_progress.ts";
-import { decodeStoredJob } from "./decode_stored_job.ts";
 import type { JobProgressRow } from "./job_progress_row.ts";
 import { listRowsByAge } from "./list_rows_by_age.ts";
 import { STORED_JOB_KEYS } from "./stored_job_keys.ts";
+import { takeJobRow } from "./take_job_row.ts";
 
 /** Longest wait of one long poll, in ms. An unresponsive connection is noticed only at the end of a poll, which must be well within the time for a cancellation. */
 const LONG_POLL_MS = 500;
@@ -36,8 +32,8 @@
   progress: Map<string, JobProgressRow>;
   /** Whether an earlier scheduler may have started the jobs. */
   mayHaveRun: boolean;
-  /** Whether the job was postponed, and there is space for its tasks by now. Default: false. */
-  isPostponed?: boolean;
+  /** Whether the jobs were postponed, and there is space for their tasks by now. Default: false. */
+  wasPostponed?: boolean;
 };
 
 /** Finds where the batch that begins at `start` ends: not between a job and its cancel request, which is the next row. */
@@ -72,7 +68,15 @@
       for (const row of rows) {
         const { id, isCancelRequest } = STORED_JOB_KEYS.parseJob(row.key);
         if (isCancelRequest) cancelJob(state, id, nowMs);
-        else takeJob(row, { id, read, nowMs });
+        else {
+          takeJobRow(state, row, {
+            id,
+            progress: read.progress.get(id),
+            mayHaveRun: read.mayHaveRun,
+            wasPostponed: read.wasPostponed ?? false,
+            nowMs,
+          });
+        }
       }
       placeTasks(state, nowMs);
     });
@@ -90,37 +94,6 @@
     }
   }
 
-  /** Submits the job of a row. Postpones it while there is no space for its tasks, or earlier jobs wait for that: an earlier scheduler can have started only jobs that are read now. */
-  function takeJob(
-    row: TableRow,
-    from: { id: string; read: ReadRows; nowMs: number },
-  ): void {
-    const { id, read, nowMs } = from;
-    if (state.jobs.has(id) || state.postponedJobs.has(id)) return;
-    const decoded = decodeStoredJob(row, id);
-    if (decoded.type === "malformed") {
-      failMalformedJob(state, { id, found: decoded.found }, nowMs);
-      return;
-    }
-    const { order, acceptedAtMs } = decoded;
-    const tasks = countTasks(order.steps);
-    const hasSpace = read.isPostponed ||
-      state.postponedJobs.size === 0 &&
-        hasSpaceForTasks(state, { tasks, isKept: true });
-    if (!hasSpace) {
-      state.postponedJobs.set(id, tasks);
-      log("jobPostponed", { job: id, tasks });
-      return;
-    }
-    const progress = read.progress.get(id);
-    const ageMs = Math.max(0, Date.now() - acceptedAtMs);
-    submitStoredJob(state, { ...order, ageMs, isKept: true }, {
-      nowMs,
-      mayHaveRun: read.mayHaveRun,
-      progress: progress && decodeProgress(progress, order),
-    });
-  }
-
   /** Runs a reading of rows; no stored job is evicted until they are applied. */
   async function runReading(read: () => Promise<void>): Promise<void> {
     state.isReadingStoredJobs = true;
@@ -174,7 +147,7 @@
       }
       state.postponedJobs.delete(id);
       const rows = listRowsByAge(jobs.rows);
-      applyRows({ rows, progress, mayHaveRun: true, isPostponed: true });
+      applyRows({ rows, progress, mayHaveRun: true, wasPostponed: true });
     }
   }
 
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -320,13 +320,12 @@
 
   function setRunsStoredJobs(runsStoredJobs: boolean): void {
     if (isSolo || isStopped) return;
-    if (!runsStoredJobs) {
-      state.areStoredJobsRead = true;
-      if (storedJobSync) options.onSuperseded(1);
+    if (storedJobSync) {
+      if (!runsStoredJobs) options.onSuperseded(1);
       return;
     }
-    if (storedJobSync) return;
-    state.areStoredJobsRead = false;
+    state.areStoredJobsRead = !runsStoredJobs;
+    if (!runsStoredJobs) return;
     storedJobSync = startStoredJobSync({
       roleKey: options.roleKey,
       table: ports.table,
