--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -29,6 +29,7 @@
     order,
     vms: new Set(),
     tasks: [],
+    blockedTaskCount: 0,
     waitingTaskCount: 0,
     openTaskCount: 0,
     arrivedMs,
@@ -48,6 +49,7 @@
       (_, index) => createTask(job, stepIndex, index),
     )
   );
+  job.blockedTaskCount = job.tasks.length;
   job.openTaskCount = job.tasks.length;
   changeTaskCount(state, job, job.tasks.length);
   return job;
--- a/src/scheduler/release_blocked_tasks.ts
+++ b/src/scheduler/release_blocked_tasks.ts
@@ -7,6 +7,8 @@
   state: SchedulerState,
   job: ScheduledJob,
 ): void {
+  // Called at the end of each task, and most jobs have one step.
+  if (job.blockedTaskCount === 0) return;
   const isDone = job.order.steps.map(() => true);
   for (const task of job.tasks) {
     if (task.phase !== "done") isDone[task.step] = false;
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -9,6 +9,8 @@
   /** Names of the VMs whose callers wait for the job. */
   vms: Set<string>;
   tasks: ScheduledTask[];
+  /** Number of tasks in phase `blocked`. */
+  blockedTaskCount: number;
   /** Number of tasks in phase `waiting`; 0 once the job has ended. */
   waitingTaskCount: number;
   /** Number of tasks that are not done. */
--- a/test/scheduler_fuzz/find_wrong_counts.ts
+++ b/test/scheduler_fuzz/find_wrong_counts.ts
@@ -14,6 +14,12 @@
         `${order.id} counts ${counts.openTaskCount} of ${open} open tasks`,
       );
     }
+    const blocked = tasks.filter(({ phase }) => phase === "blocked").length;
+    if (blocked !== counts.blockedTaskCount) {
+      found.push(
+        `${order.id} counts ${counts.blockedTaskCount} of ${blocked} blocked tasks`,
+      );
+    }
     if (waiting !== counts.waitingTaskCount) {
       found.push(
         `${order.id} counts ${counts.waitingTaskCount} of ${waiting} waiting tasks`,
