--- a/src/scheduler/change_task_phase.ts
+++ b/src/scheduler/change_task_phase.ts
@@ -24,7 +24,7 @@
 
 /**
  * Changes the phase of a task as the chart says, and with it the job's counts
- * of waiting and open tasks. Returns false, and changes nothing, where the
+ * of tasks by phase. Returns false, and changes nothing, where the
  * chart does not allow the event: a message about a run may arrive when the
  * task has moved on, and a task that is done stays done.
  */
