Let a small stored job pass the large ones that wait for space in memory

Change: only a job that does not fit is postponed. The order by age is not needed for safety: run ends of unread jobs stay listed, and their runs are not stopped, while any job is postponed.

--- a/src/stored_jobs/take_job_row.ts
+++ b/src/stored_jobs/take_job_row.ts
@@ -11,9 +11,9 @@
 
 /**
  * Submits the job of a row, unless it is known. Fails a job whose row is
- * malformed. Postpones one while there is no space for its tasks, or earlier
- * jobs wait for that: so an earlier scheduler, which did the same, has started
- * no job that is postponed here.
+ * malformed. Postpones one while there is no space for its tasks; a smaller one
+ * that was stored later does not wait for it. An earlier scheduler may have
+ * started a postponed job, so its run ends stay listed until it is read.
  */
 export function takeJobRow(
   state: SchedulerState,
@@ -38,8 +38,7 @@
   const { order, acceptedAtMs } = decoded;
   const tasks = countTasks(order.steps);
   const hasSpace = wasPostponed ||
-    state.postponedJobs.size === 0 &&
-      hasSpaceForTasks(state, { tasks, isKept: true });
+    hasSpaceForTasks(state, { tasks, isKept: true });
   if (!hasSpace) {
     state.postponedJobs.set(id, tasks);
     recordEvent(state, "jobPostponed", { job: id, tasks });
--- a/test/stored_jobs/postponed_jobs_test.ts
+++ b/test/stored_jobs/postponed_jobs_test.ts
@@ -12,14 +12,14 @@
 import { waitFor } from "../fixtures/wait_for.ts";
 
 /** As many as a version before this one could accept. */
-const TASKS = 10_000;
+const TASKS = 9_900;
 const JOBS = 8;
 
 let stop = () => {};
 afterEach(() => stop());
 
 /** Watches a table with jobs that all together have more tasks than the scheduler holds; the last was stored first. */
-async function startWatching() {
+async function startWatching(options: { hasSmallJob?: boolean } = {}) {
   const table = createMemoryTable();
   for (let index = JOBS - 1; index >= 0; index -= 1) {
     const order = createOrder({
@@ -31,6 +31,12 @@
     const key = `chivegrade-jobs/j${index}`;
     await table.transact([{ type: "insert", key, value }]);
   }
+  if (options.hasSmallJob) {
+    const order = createOrder({ id: "small", isKept: true });
+    const value = { order, acceptedAtMs: Date.now() };
+    const key = "chivegrade-jobs/small";
+    await table.transact([{ type: "insert", key, value }]);
+  }
   table.watch = (_, { waitMs }) =>
     new Promise((resolve) =>
       setTimeout(() => resolve({ rows: [], revision: 0, atMs: 0 }), waitMs)
@@ -70,6 +76,15 @@
     assert.ok(state.taskCounts.stored <= 30_000);
   });
 
+  // A job of two tasks waited for all large jobs before it, with idle endpoints.
+  test("a small job that was stored last does not wait for the postponed ones", async () => {
+    const { driver } = await startWatching({ hasSmallJob: true });
+    const { state } = driver;
+
+    assert.ok(state.jobs.has("small"));
+    assert.equal(state.postponedJobs.size, JOBS - 3);
+  });
+
   test("further stored jobs are refused meanwhile", async () => {
     const { driver } = await startWatching();
 
