Start nothing in a data centre that the operator has evacuated

Change: every VM reads the rows with the configuration, from the same reads and watch, and keeps the list of the highest revision among its own and its peers' (reports and statuses carry it). The scheduler, also one in solo mode, starts nothing there: first starts, retries, moved stragglers, suspects, starts that wait for the store or for a connection, and repeated sends. Where the settings have a bound for evacuations, nothing starts before the list is known. A job that no open data centre of its group can run goes to another group by free capacity, or is refused at once as not run; one that has begun fails at once. A job to be stored that no open data centre can run is refused as busy. Gauges and log lines say since when a data centre is evacuated, what still runs there, and when nothing does.

The test of the log page looks at the new folder as well: its events are logged there. Nothing else of an existing test is changed.

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -103,6 +103,10 @@
   strangerStopped: ["task", "run", "endpoint"],
   endpointsNotRead: ["message"],
   endpointRowsMalformed: ["count"],
+  // Evacuated data centres
+  dataCentreEvacuated: ["dataCentre", "revision", "from"],
+  dataCentreReopened: ["dataCentre", "revision", "from", "afterMs"],
+  dataCentreEmptied: ["dataCentre", "tookMs"],
   // The process, its configuration, the scheduler role and links
   started: ["dataCentre", "ip"],
   serving: ["callers"],
--- a/src/metrics/create_registry.ts
+++ b/src/metrics/create_registry.ts
@@ -1,3 +1,4 @@
+import { formatLabels } from "./format_labels.ts";
 import type { Registry } from "./registry.ts";
 
 /** Upper bounds of the histogram buckets, in ms. They range from one round trip to the longest wait of a caller. */
@@ -80,10 +81,13 @@
       for (const [name, histogram] of histograms) {
         lines.push(...formatHistogram(name, histogram));
       }
+      const typed = new Set<string>();
       for (
         const [name, value] of gauges.flatMap((read) => Object.entries(read()))
       ) {
-        lines.push(`# TYPE ${PREFIX}${name} gauge`);
+        const [metric] = name.split("{", 1);
+        if (!typed.has(metric)) lines.push(`# TYPE ${PREFIX}${metric} gauge`);
+        typed.add(metric);
         lines.push(`${PREFIX}${name} ${formatGauge(value)}`);
       }
       return lines.join("\n") + "\n";
@@ -95,9 +99,3 @@
 function formatGauge(value: number): string {
   return value === Infinity ? "+Inf" : String(value);
 }
-
-function formatLabels(labels: Record<string, string>): string {
-  const parts = Object.entries(labels)
-    .map(([name, value]) => `${name}="${value.replace(/["\\\n]/g, "_")}"`);
-  return parts.length === 0 ? "" : `{${parts.join(",")}}`;
-}
--- a/src/metrics/registry.ts
+++ b/src/metrics/registry.ts
@@ -8,7 +8,7 @@
   observe(name: string, durationMs: number): void;
   /** Registers a gauge; `read` is called at each scrape. */
   setLevel(name: string, read: () => number): void;
-  /** Registers gauges that may come and go; at each scrape, `read` returns those that exist at that time. */
+  /** Registers gauges that may come and go; at each scrape, `read` returns those that exist at that time, by name, followed by formatted labels if there are any. */
   addLevels(read: () => Record<string, number>): void;
   /** Returns all metrics in the Prometheus text exposition format. */
   formatText(): string;
--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -1,3 +1,4 @@
+import { recordEmptiedDataCentres } from "../evacuation/record_emptied_data_centres.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { endCrashingJobs } from "./end_crashing_jobs.ts";
 import { endJob } from "./end_job.ts";
@@ -39,7 +40,7 @@
     clearStoppedRuns(state, endpoint, nowMs);
     dropExpiredRuns(state, endpoint, nowMs);
     stopForeignRuns(state, endpoint, nowMs);
-    releaseIsolation(endpoint);
+    releaseIsolation(state, endpoint);
   }
   requestCountedStarts(state, nowMs);
   endCrashingJobs(state, nowMs);
@@ -50,6 +51,7 @@
   endUnservableJobs(state, nowMs);
   placeTasks(state, nowMs);
   passWaitingJobs(state, nowMs);
+  recordEmptiedDataCentres(state, nowMs);
 }
 
 /** Passes waiting jobs to other groups that have free capacity for them by now. */
--- a/src/scheduler/can_host_task.ts
+++ b/src/scheduler/can_host_task.ts
@@ -1,3 +1,4 @@
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -12,6 +13,7 @@
   const { task, nowMs } = start;
   const { row, phase } = endpoint;
   if (phase !== "usable" || row.isDraining) return false;
+  if (!canStartIn(state, row.dataCentre)) return false;
   // Starting a task extends the endpoint's lease, but another scheduler may count the foreign runs there as ended once that lease expires.
   if (endpoint.foreignRuns.size > 0 || endpoint.leaseExpiryClockMs > 0) {
     return false;
--- a/src/scheduler/compute_service_capacity.ts
+++ b/src/scheduler/compute_service_capacity.ts
@@ -1,8 +1,9 @@
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { ServiceCapacity } from "./service_capacity.ts";
 
-/** Computes the CPU capacity of the usable endpoints that are not draining, by service. */
+/** Computes the CPU capacity of the usable endpoints that are neither draining nor evacuated, by service. */
 export function computeServiceCapacity(
   state: SchedulerState,
 ): Map<string, ServiceCapacity> {
@@ -10,6 +11,7 @@
   for (const endpoint of state.endpoints.values()) {
     const { row, phase, used, isolatedTask } = endpoint;
     if (phase !== "usable" || row.isDraining) continue;
+    if (!canStartIn(state, row.dataCentre)) continue;
     const free = !isolatedTask && canListFurtherEnd(state, endpoint)
       ? Math.max(0, row.room.cpu - used.cpu)
       : 0;
--- a/src/scheduler/count_startable_tasks.ts
+++ b/src/scheduler/count_startable_tasks.ts
@@ -1,3 +1,4 @@
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import { canListFurtherEnd } from "./can_list_further_end.ts";
 import type { JobOrder } from "./job_order.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -12,6 +13,7 @@
   for (const endpoint of state.endpoints.values()) {
     const { row, phase, used, isolatedTask } = endpoint;
     if (phase !== "usable" || row.isDraining || isolatedTask) continue;
+    if (!canStartIn(state, row.dataCentre)) continue;
     if (!canListFurtherEnd(state, endpoint)) continue;
     if (row.service !== order.service) continue;
     count += Math.max(0, Math.floor((row.room.cpu - used.cpu) / cpu));
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -46,6 +46,8 @@
       options.knownEndpointIds?.map((id) => [id, options.nowMs]),
     ),
     otherGroupCapacities: [],
+    lastGroupCapacities: [],
+    occupiedSinceMs: new Map(),
     passedJobs: new Map(),
     taskCpu: new Map(),
     routeStats: new Map(),
--- a/src/scheduler/describe_gauges.ts
+++ b/src/scheduler/describe_gauges.ts
@@ -1,3 +1,5 @@
+import { countEvacuatedRuns } from "../evacuation/count_evacuated_runs.ts";
+import { formatLabels } from "../metrics/format_labels.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
 /** Reads the scheduler's gauges for the metrics: its queues, the capacity of its endpoints and the age of the oldest listing, by metric name. */
@@ -22,6 +24,12 @@
     scheduler_suspect_tasks: state.suspects.size,
     scheduler_running_tasks: endpoints
       .reduce((sum, { runs }) => sum + runs.size, 0),
+    ...Object.fromEntries(
+      [...countEvacuatedRuns(state)].map(([name, count]) => [
+        `evacuated_running_tasks${formatLabels({ data_centre: name })}`,
+        count,
+      ]),
+    ),
     endpoints_known: endpoints.length,
     endpoints_usable: usable.length,
     endpoints_free_millicores: freeCpu.reduce((sum, free) => sum + free, 0),
--- a/src/scheduler/index_isolated_endpoints.ts
+++ b/src/scheduler/index_isolated_endpoints.ts
@@ -1,7 +1,8 @@
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import type { IsolatedEndpoints } from "./isolated_endpoints.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** Finds the isolated endpoints and counts all endpoints of each service. */
+/** Finds the isolated endpoints and counts the endpoints of each service that are not evacuated. */
 export function indexIsolatedEndpoints(
   state: SchedulerState,
 ): IsolatedEndpoints {
@@ -9,10 +10,11 @@
   const counts: IsolatedEndpoints["counts"] = new Map();
   for (const endpoint of state.endpoints.values()) {
     const { row, phase, isolatedTask } = endpoint;
+    if (isolatedTask) byTask.set(isolatedTask, endpoint);
+    if (!canStartIn(state, row.dataCentre)) continue;
     const count = counts.get(row.service) ?? { all: 0, usable: 0, isolated: 0 };
     counts.set(row.service, count);
     count.all += 1;
-    if (isolatedTask) byTask.set(isolatedTask, endpoint);
     if (phase !== "usable") continue;
     count.usable += 1;
     if (isolatedTask) count.isolated += 1;
--- a/src/scheduler/job_outcome.ts
+++ b/src/scheduler/job_outcome.ts
@@ -13,7 +13,8 @@
   | "outOfTime"
   | "abandoned"
   | "cancelled"
-  | "malformed";
+  | "malformed"
+  | "evacuated";
 type RefusalReason =
   | "outOfTime"
   | "noRoomInTime"
@@ -25,4 +26,5 @@
   | "stopping"
   | "noScheduler"
   | "malformed"
-  | "noSpace";
+  | "noSpace"
+  | "evacuated";
--- a/src/scheduler/request_counted_starts.ts
+++ b/src/scheduler/request_counted_starts.ts
@@ -1,3 +1,4 @@
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import type { CountedStart } from "./counted_start.ts";
 import { dropRun } from "./drop_run.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
@@ -45,6 +46,7 @@
   if (phase !== "usable" || row.isDraining || foreignRuns.size > 0) {
     return false;
   }
+  if (!canStartIn(state, row.dataCentre)) return false;
   // A run that another scheduler started may have ended the task meanwhile.
   if (start.task.phase === "done") return false;
   return !start.task.job.outcome && start.nowMs <= state.roleExclusiveUntilMs;
--- a/src/scheduler/scheduler_limits.ts
+++ b/src/scheduler/scheduler_limits.ts
@@ -10,4 +10,6 @@
   resendMs: number;
   /** Most run ends that an endpoint lists at a time; it lists later ones once these are acknowledged. */
   maxListedEnds: number;
+  /** Time after which nothing may start any more in a data centre whose evacuation was requested, in ms. Absent: the deployment doesn't evacuate data centres. */
+  evacuateMs?: number;
 };
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -1,3 +1,4 @@
+import type { Evacuations } from "../evacuation/evacuations.ts";
 import type { UnmatchedRunEnds } from "./unmatched_run_ends.ts";
 import type { CountedStart } from "./counted_start.ts";
 import type { Effect } from "./effect.ts";
@@ -52,6 +53,12 @@
   missingEndpoints: Map<string, number>;
   /** Free capacity of the other groups as last received, less the jobs passed there since. */
   otherGroupCapacities: GroupCapacity[];
+  /** The same as last received; kept while no current figures are received. */
+  lastGroupCapacities: GroupCapacity[];
+  /** The evacuated data centres; absent while not known. */
+  evacuations?: Evacuations;
+  /** Evacuated data centres in which tasks may still run, with the time since which they have been evacuated, as far as this scheduler knows, in ms. */
+  occupiedSinceMs: Map<string, number>;
   /** Jobs that were passed to another group, by id. If such a job is submitted again, its VM is sent to the same group. */
   passedJobs: Map<string, PassedJob>;
   /** Mean CPU need of a task by service, in thousandths of a core. */
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -1,3 +1,4 @@
+import { handOnEvacuatedJob } from "../evacuation/hand_on_evacuated_job.ts";
 import { countStartableTasks } from "./count_startable_tasks.ts";
 import { createJob } from "./create_job.ts";
 import { endJob } from "./end_job.ts";
@@ -80,6 +81,7 @@
     endJob(state, job, { outcome: { type: "completed" }, nowMs });
     return;
   }
+  if (handOnEvacuatedJob(state, job, nowMs)) return;
   const isCapacityShort = state.otherGroupCapacities.length > 0 &&
     countStartableTasks(state, order) < job.waitingTaskCount;
   if (isCapacityShort && tryPassJob(state, job, nowMs)) return;
--- a/src/scheduler/try_pass_job.ts
+++ b/src/scheduler/try_pass_job.ts
@@ -1,3 +1,4 @@
+import { chooseOpenGroup } from "../evacuation/choose_open_group.ts";
 import { chooseGroup } from "../decide/choose_group.ts";
 import { isLikelyLate } from "../decide/is_likely_late.ts";
 import { recordEvent } from "./record_event.ts";
@@ -13,13 +14,22 @@
   state: SchedulerState,
   job: ScheduledJob,
   nowMs: number,
+  options: {
+    /** Whether this group can't run the job at all, so that it goes to any group that can run it, late or not. Default: false. */
+    mustLeave?: boolean;
+  } = {},
 ): boolean {
-  if (!canPass(state, job, nowMs)) return false;
+  const { mustLeave = false } = options;
+  if (!canPass(state, job)) return false;
+  if (!mustLeave && isLikelyLate(job, nowMs)) return false;
   const { id, service, steps } = job.order;
-  const target = chooseGroup(
+  const choose = mustLeave ? chooseOpenGroup : chooseGroup;
+  const target = choose(
     { service, tasks: job.waitingTaskCount, cpu: steps[0].room.cpu },
     {
-      capacities: state.otherGroupCapacities,
+      capacities: mustLeave
+        ? state.lastGroupCapacities
+        : state.otherGroupCapacities,
       draw: (state.passedJobs.size * DRAW_STEP) % 1,
     },
   );
@@ -45,14 +55,12 @@
   return true;
 }
 
-/** Whether the job may go to another group: a best-effort job that has not started, was not passed here and can still meet its objective. */
+/** Whether the job may go to another group: a best-effort job that has not started and was not passed here. */
 function canPass(
   state: SchedulerState,
   job: ScheduledJob,
-  nowMs: number,
 ): boolean {
   const { isKept, wasPassed } = job.order;
   if (isKept || wasPassed || state.isSolo) return false;
-  return !job.mayHaveStarted && !job.outcome && job.vms.size > 0 &&
-    !isLikelyLate(job, nowMs);
+  return !job.mayHaveStarted && !job.outcome && job.vms.size > 0;
 }
--- a/src/vm/endpoint_client.ts
+++ b/src/vm/endpoint_client.ts
@@ -11,6 +11,8 @@
     leaseEndMs: number;
     token: number;
     timeoutMs: number;
+    /** Whether the start may still be sent; called right before it is. Default: it may. */
+    maySend?: () => boolean;
   }): Promise<StartReply & { clockMs?: number }>;
   /** Stops a run; true when the endpoint has confirmed the stop. */
   stop(order: {
--- a/src/vm/follow_scheduler.ts
+++ b/src/vm/follow_scheduler.ts
@@ -18,6 +18,7 @@
 import { openRemoteLink } from "./open_remote_link.ts";
 import { readHeartbeat } from "./read_heartbeat.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
+import type { SchedulerStatus } from "./scheduler_status.ts";
 import type { SchedulerRow } from "./scheduler_row.ts";
 import { takeSchedulerRow } from "./take_scheduler_row.ts";
 import type { Ticker } from "./ticker.ts";
@@ -80,6 +81,8 @@
   }) => SchedulerHost;
   /** Called with the scheduler's configuration version, which may be later than this VM's. */
   onVersionSeen: (version: number) => void;
+  /** Called with the scheduler's list of evacuated data centres. Default: it is ignored. */
+  onEvacuationsSeen?: (received: SchedulerStatus["evacuations"]) => void;
   /** Updated with the scheduler's figures on stored jobs. */
   storedJobsView: StoredJobsView;
   /** Called with the key and value of each group's scheduler row, which names the role holder. */
@@ -171,6 +174,7 @@
       storedJobsView.update(status);
       hasKeptJobs = status.hasKeptJobs;
       options.onVersionSeen(status.configurationVersion);
+      options.onEvacuationsSeen?.(status.evacuations);
     },
     left: () => {
       if (isLeavingScheduler) return;
--- a/src/vm/poll_group_summaries.ts
+++ b/src/vm/poll_group_summaries.ts
@@ -23,6 +23,8 @@
   log: EventLog;
   /** Names of the other groups. */
   groups: string[];
+  /** Whether tasks may start in a group. The free capacity of one that is evacuated does not count, whatever its scheduler says. */
+  isOpen: (group: string) => boolean;
   /** Called with the heartbeats as just read, and the summaries in those that are current. */
   onRead: (
     host: SchedulerHost,
@@ -46,7 +48,8 @@
       const { storeMs, summary } = value as HeartbeatRow;
       if (!Array.isArray(summary?.rooms)) continue;
       if (scan.atMs - storeMs > STALE_HEARTBEAT_MS) continue;
-      summaries.set(group, summary);
+      const isOpen = options.isOpen(group);
+      summaries.set(group, isOpen ? summary : { ...summary, rooms: [] });
     }
     host.setGroupSummaries(summaries);
     await options.onRead(host, { scan, summaries });
--- a/src/vm/scheduler_status.ts
+++ b/src/vm/scheduler_status.ts
@@ -1,3 +1,4 @@
+import type { Evacuations } from "../evacuation/evacuations.ts";
 import type { LinkedVm } from "./linked_vm.ts";
 
 /** The scheduler's heartbeat to a linked VM. */
@@ -13,4 +14,6 @@
   pending?: Record<string, number>;
   /** Time for which the waiting jobs would occupy all capacity, by service, in ms. */
   backlogsMs: Record<string, number>;
+  /** The evacuated data centres; absent while not known, and while the VM's last report had the same. */
+  evacuations?: Evacuations;
 };
--- a/src/vm/send_start.ts
+++ b/src/vm/send_start.ts
@@ -1,4 +1,5 @@
 import { classifyRepeatedStart } from "../decide/classify_repeated_start.ts";
+import { canStartIn } from "../evacuation/can_start_in.ts";
 import { applyStartReply } from "../scheduler/apply_start_reply.ts";
 import type { Effect } from "../scheduler/effect.ts";
 import type { SchedulerState } from "../scheduler/scheduler_state.ts";
@@ -38,6 +39,7 @@
 ): Promise<StartReply & { clockMs?: number }> {
   const { client, answers } = session;
   const { task, run, leaseEndMs, endpointId } = start;
+  const maySend = () => isOpen(state, endpointId);
   for (let earlierSends = 0; earlierSends < MAX_SENDS; earlierSends += 1) {
     const timeoutMs = answers.computeTimeoutMs(earlierSends);
     const sentMs = readMonotonicMs();
@@ -48,12 +50,14 @@
       leaseEndMs,
       token: state.endpoints.get(endpointId)?.token ?? state.token,
       timeoutMs,
+      maySend,
     });
     const nowMs = readMonotonicMs();
     const tookMs = nowMs - sentMs;
     if (reply.type === "unanswered") {
       answers.recordLoss({ tookMs, timeoutMs, nowMs });
       if (!isStillWanted(state, start) || !session.isOpen) return reply;
+      if (!maySend()) return reply;
       continue;
     }
     if (earlierSends > 0) return classifyRepeatedStart(reply);
@@ -63,6 +67,12 @@
   return { type: "unanswered" };
 }
 
+/** Whether the endpoint's data centre is not evacuated. A start may wait for a connection until after it is. */
+function isOpen(state: SchedulerState, endpointId: string): boolean {
+  const endpoint = state.endpoints.get(endpointId);
+  return !endpoint || canStartIn(state, endpoint.row.dataCentre);
+}
+
 /** Whether the run is still to be started: its job is open and no listing has shown the run. */
 function isStillWanted(
   state: SchedulerState,
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -1,3 +1,6 @@
+import { applyEvacuations } from "../evacuation/apply_evacuations.ts";
+import type { createEvacuationsView } from "../evacuation/create_evacuations_view.ts";
+import { hasSameDataCentres } from "../evacuation/has_same_data_centres.ts";
 import { dropCaller } from "../scheduler/drop_caller.ts";
 import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
 import { computeBacklogs } from "../decide/compute_backlogs.ts";
@@ -66,6 +69,11 @@
   /** The other VMs known at the start: they count as lost until they link. */
   vms: LinkedVm[];
   configurationVersion: () => number;
+  /** This VM's view of the evacuations. Default: there are none. */
+  evacuations?: Pick<
+    ReturnType<typeof createEvacuationsView>,
+    "read" | "update"
+  >;
   readReport: () => Pick<VmReport, "loopDelayMs" | "slowedMs">;
   /** Whether there may be stored jobs, as the last scheduler reported. */
   hasKeptJobs: boolean;
@@ -93,6 +101,7 @@
   if (!isSolo) {
     state.roleExclusiveUntilMs = readMonotonicMs() + ROLE_EXCLUSIVE_MS;
   }
+  applyEvacuations(state, options.evacuations?.read(), readMonotonicMs());
   const startedMs = readMonotonicMs();
   /** When the last heartbeat that reached the store was sent, in ms. */
   let heartbeatSentMs = startedMs;
@@ -177,6 +186,7 @@
         const isFirst = link.report === undefined;
         link.report = report;
         links.recordReport(vm);
+        options.evacuations?.update(report.evacuations);
         if (isFirst) sendStatus(link, describeStatus());
       },
       submit: (order, progress) => {
@@ -264,7 +274,14 @@
     };
   }
 
-  function sendStatus(link: VmLink, status: SchedulerStatus): void {
+  function sendStatus(link: VmLink, common: SchedulerStatus): void {
+    const isListKnown = hasSameDataCentres(
+      state.evacuations,
+      link.report?.evacuations,
+    );
+    const status = isListKnown
+      ? common
+      : { ...common, evacuations: state.evacuations };
     const hasSentVmList = link.sentVmListVersion === vmList.version;
     const maySendVmList = link.report !== undefined && !link.report.isGuest;
     if (hasSentVmList || !maySendVmList) {
@@ -307,6 +324,7 @@
     state.lostVmCount = links.countSoloVms(nowMs);
     // A VM that was lost at the last written heartbeat, or since, may still run and reach the store, however long ago it was lost.
     if (canConfirmWithoutStore(nowMs)) confirmRole(nowMs);
+    applyEvacuations(state, options.evacuations?.read(), nowMs);
     advanceScheduler(state, nowMs);
   }
 
@@ -378,6 +396,9 @@
       state.otherGroupCapacities = [...summaries].flatMap((
         [group, { rooms }],
       ) => rooms.map((room) => ({ ...room, group })));
+      if (summaries.size > 0) {
+        state.lastGroupCapacities = state.otherGroupCapacities;
+      }
       const storedJobsSummary = [...summaries.values()].find(({ pending }) =>
         pending
       );
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -1,13 +1,16 @@
+import { createEvacuationsView } from "../evacuation/create_evacuations_view.ts";
+import type { Evacuations } from "../evacuation/evacuations.ts";
+import { describeEvacuations } from "../evacuation/describe_evacuations.ts";
+import { isGroupEvacuated } from "../evacuation/is_group_evacuated.ts";
 import type { JobOrder } from "../scheduler/job_order.ts";
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
 import { cancelStoredJob } from "../stored_jobs/cancel_stored_job.ts";
 import { createJobWriter } from "../stored_jobs/create_job_writer.ts";
+import { findStoreRefusal } from "../stored_jobs/find_store_refusal.ts";
 import type { StoreOutcome } from "../stored_jobs/store_outcome.ts";
 import { readStoredJobState } from "../stored_jobs/read_stored_job_state.ts";
-import { canEverFit } from "../scheduler/can_ever_fit.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 import { waitMs } from "../utils/wait_ms.ts";
-import { isBacklogFull } from "../decide/is_backlog_full.ts";
 import { computeSuccessionRank } from "../decide/compute_succession_rank.ts";
 import { computeEndpointShare } from "../decide/compute_endpoint_share.ts";
 import type { EndpointRow } from "../scheduler/endpoint_row.ts";
@@ -52,6 +55,8 @@
   /** Called with the scheduler's configuration version, which may be later than this VM's. */
   onVersionSeen: (version: number) => void;
   isStoreReachable: () => boolean;
+  /** Reads the evacuated data centres as this VM last read them from the store; undefined before that. */
+  readEvacuations: () => Evacuations | undefined;
 }): Promise<RunningVm> {
   const { settings, ports, log } = options;
   const incarnation = crypto.randomUUID();
@@ -71,6 +76,11 @@
   let isStopping = false;
   let linkedMs = readMonotonicMs();
 
+  const evacuations = createEvacuationsView({
+    readStored: options.readEvacuations,
+    isExpected: () => settings.limits.evacuateMs !== undefined,
+    log,
+  });
   const readReport = (): VmReport => ({
     name: settings.name,
     address: settings.peerAddress,
@@ -82,6 +92,7 @@
     isDraining,
     isStoreReachable: options.isStoreReachable(),
     configurationVersion: options.configurationVersion(),
+    evacuations: evacuations.read(),
   });
   const endpointCache = createEndpointCache(ports);
   const jobWriter = createJobWriter(
@@ -90,12 +101,13 @@
   );
   function storeJob(order: JobOrder): Promise<StoreOutcome> {
     if (!options.isStoreReachable()) return Promise.resolve("notStored");
-    const backlogMs = storedJobsView.readBacklogMs(order.service);
-    if (isBacklogFull(backlogMs)) return Promise.resolve("busy");
-    const rows = endpointCache.read();
-    const canFit = rows.length === 0 ||
-      order.steps.every((step) => canEverFit(rows, order.service, step));
-    return canFit ? jobWriter.store(order) : Promise.resolve("neverFits");
+    const refusal = findStoreRefusal(order, {
+      backlogMs: storedJobsView.readBacklogMs(order.service),
+      rows: endpointCache.read(),
+      evacuations: evacuations.read(),
+    });
+    if (refusal) return Promise.resolve(refusal);
+    return jobWriter.store(order);
   }
   function readEndpointShare(
     rows: EndpointRow[],
@@ -149,6 +161,7 @@
       log,
       groups: others,
       findHost,
+      isOpen: (other) => !isGroupEvacuated(layout, other, evacuations.read()),
       onRead: storedJobsGroup.review,
     });
     guestLinks = createGuestLinks({
@@ -170,6 +183,7 @@
       storedJobsView,
       readReport,
       onVersionSeen: options.onVersionSeen,
+      onEvacuationsSeen: evacuations.update,
       onHolderFound: (key, row) => holders.set(key, row),
       startHost: ({ soloPeers, ...start }) => {
         const host = startSchedulerHost({
@@ -194,6 +208,7 @@
           },
           log,
           configurationVersion: options.configurationVersion,
+          evacuations,
         });
         // With other groups it depends on a row that is read at short intervals.
         if (others.length === 0) host.setRunsStoredJobs(true);
@@ -244,6 +259,7 @@
     readGauges: () => ({
       scheduler_heard_age_ms: storedJobsView.readAgeMs(),
       waiting_for_store: jobWriter.count(),
+      ...describeEvacuations(evacuations.readAges()),
       ...follower?.findHost()?.readGauges(),
     }),
     drain: stopGracefully,
--- a/src/vm/vm_report.ts
+++ b/src/vm/vm_report.ts
@@ -1,3 +1,5 @@
+import type { Evacuations } from "../evacuation/evacuations.ts";
+
 /** A linked VM's report on itself. */
 export type VmReport = {
   name: string;
@@ -16,4 +18,6 @@
   isStoreReachable: boolean;
   /** Version of the configuration that the VM uses. */
   configurationVersion: number;
+  /** The evacuated data centres, as far as the VM knows; absent while not known, and where there has never been an evacuation. */
+  evacuations?: Evacuations;
 };
--- a/test/style/log_page_test.ts
+++ b/test/style/log_page_test.ts
@@ -4,7 +4,13 @@
 import { describe, test } from "node:test";
 import { LOG_EVENTS } from "../../src/log/log_events.ts";
 
-const FOLDERS = ["src/vm", "src/scheduler", "src/stored_jobs", "platform"];
+const FOLDERS = [
+  "src/vm",
+  "src/scheduler",
+  "src/stored_jobs",
+  "src/evacuation",
+  "platform",
+];
 
 /** The rows of the log page's tables: an event, and the fields it names. */
 function readPage(): Map<string, string[]> {
