Hand the stored jobs of an evacuated group over to an open one

Cause: stored jobs run in one group; with all its data centres evacuated none of them ran.

Change: the scheduler that has them hands them over by itself, once no task of them runs at its endpoints and all ends are in the store, in one transaction that names the other group and raises the own epoch. The takeover from a lost group does not fit: it counts on expired leases, which this scheduler extends. A group that is evacuated takes none over. Before that a start in such a group is impossible, and during the transaction no stored job's task starts even if the evacuation ends.

The histories of groups get a further property with evacuations; the earlier one plays the same histories as before.

--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -131,6 +131,8 @@
   groupJoined: ["group", "groups"],
   storedJobsTaken: ["group", "wasGroup", "absentMs"],
   storedJobsReturned: ["group", "wasGroup"],
+  storedJobsHandedOver: ["group", "wasGroup"],
+  storedJobsNotHandedOver: ["group", "message"],
   guestLinked: ["group", "vm", "epoch"],
   guestLinkDropped: ["group", "reason"],
   linked: ["epoch", "jobs"],
--- a/src/vm/follow_stored_jobs_group.ts
+++ b/src/vm/follow_stored_jobs_group.ts
@@ -1,6 +1,7 @@
 import { createAbsenceMonitor } from "../group/create_absence_monitor.ts";
 import { findStoredJobsGroup } from "../group/find_stored_jobs_group.ts";
 import { STORED_JOBS_GROUP_KEY } from "../group/stored_jobs_group_key.ts";
+import { readError } from "../errors/read_error.ts";
 import type { ScanResult } from "../store/scan_result.ts";
 import type { Table } from "../store/table.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
@@ -8,6 +9,7 @@
 import { formatRowKeys } from "./format_row_keys.ts";
 import type { GroupSummary } from "./group_summary.ts";
 import type { SchedulerHost } from "./scheduler_host.ts";
+import { handOverStoredJobs } from "./hand_over_stored_jobs.ts";
 import { takeStoredJobs } from "./take_stored_jobs.ts";
 
 /**
@@ -18,7 +20,7 @@
  */
 const TAKE_OVER_AFTER_MS = 10_000;
 
-/** Follows which group runs the stored jobs, for the scheduler in this process: that begins to run them when the row names its group, and takes them over when the scheduler of the named group is gone. */
+/** Follows which group runs the stored jobs, for the scheduler in this process: that begins to run them when the row names its group, takes them over when the scheduler of the named group is gone, and hands them over when its own group is evacuated. */
 export function followStoredJobsGroup(options: {
   table: Table;
   log: EventLog;
@@ -26,7 +28,9 @@
   group: string;
   /** All groups; the first runs the stored jobs from the beginning. */
   groups: string[];
-  /** Called when the stored jobs were returned to a group, so that the scheduler in this process has to stop. */
+  /** Whether tasks may start in a group: not all its data centres are evacuated. Default: in each. */
+  isOpen?: (group: string) => boolean;
+  /** Called when the stored jobs were given to another group, so that the scheduler in this process has to stop. */
   onReturned: () => void;
 }): {
   /** Reviews the heartbeats and the other rows beside them, as just read. */
@@ -35,7 +39,7 @@
     read: { scan: ScanResult; summaries: Map<string, GroupSummary> },
   ): Promise<void>;
 } {
-  const { table, log, group, groups } = options;
+  const { table, log, group, groups, isOpen = () => true } = options;
   const keys = formatRowKeys(group);
   const monitor = createAbsenceMonitor(
     groups.map((one) => formatRowKeys(one).heartbeat),
@@ -48,7 +52,7 @@
   ): Promise<void> {
     const { heartbeat } = formatRowKeys(holder.group);
     const absentMs = monitor.readAbsentMs(heartbeat);
-    if (absentMs < TAKE_OVER_AFTER_MS) return;
+    if (absentMs < TAKE_OVER_AFTER_MS || !isOpen(group)) return;
     const isTaken = await takeStoredJobs(table, {
       group,
       role: { key: keys.scheduler, revision: host.readRoleRevision() },
@@ -87,6 +91,34 @@
     options.onReturned();
   }
 
+  /** Hands the stored jobs over to the first open group, once none of their tasks runs here any more. */
+  async function leave(
+    host: SchedulerHost,
+    holderRevision: number,
+    summaries: Map<string, GroupSummary>,
+  ): Promise<void> {
+    const to = groups.find((one) => summaries.has(one) && isOpen(one));
+    if (to === undefined || !host.tryPauseStoredJobs()) return;
+    try {
+      const isLeft = await handOverStoredJobs(table, {
+        group,
+        roleRevision: host.readRoleRevision(),
+        holderRevision,
+        to,
+      });
+      if (!isLeft) {
+        host.resumeStoredJobs();
+        return;
+      }
+      log("storedJobsHandedOver", { group: to, wasGroup: group });
+    } catch (thrown) {
+      const { message } = readError(thrown);
+      log("storedJobsNotHandedOver", { group: to, message });
+    }
+    // A call without an answer may still take effect.
+    options.onReturned();
+  }
+
   return {
     review: async (host, { scan, summaries }) => {
       monitor.observe(scan.rows, readMonotonicMs());
@@ -96,6 +128,7 @@
       if (!isOwn) return await takeIfAbsent(host, holder, scan);
       const other = [...summaries].find(([, { pending }]) => pending);
       if (other) await handBack(host, other[0], holder.revision);
+      else if (!isOpen(group)) await leave(host, holder.revision, summaries);
     },
   };
 }
--- a/src/vm/scheduler_host.ts
+++ b/src/vm/scheduler_host.ts
@@ -20,6 +20,10 @@
   confirmRole(sentMs: number): void;
   /** Sets whether this scheduler runs the stored jobs. Once it has begun to, it stops with them: then another group's scheduler has taken them over. */
   setRunsStoredJobs(runsStoredJobs: boolean): void;
+  /** Stops starting tasks of stored jobs, if the endpoints are evacuated and another group may run these jobs without a task running twice; returns whether it did. */
+  tryPauseStoredJobs(): boolean;
+  /** Starts tasks of stored jobs again. */
+  resumeStoredJobs(): void;
   /** Reads the revision of the scheduler row under which this scheduler has the role. */
   readRoleRevision(): number;
   /** Describes this scheduler for the schedulers of other groups. */
--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -1,5 +1,6 @@
 import { applyEvacuations } from "../evacuation/apply_evacuations.ts";
 import type { createEvacuationsView } from "../evacuation/create_evacuations_view.ts";
+import { canLeaveStoredJobs } from "../evacuation/can_leave_stored_jobs.ts";
 import { hasSameDataCentres } from "../evacuation/has_same_data_centres.ts";
 import { dropCaller } from "../scheduler/drop_caller.ts";
 import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
@@ -115,6 +116,8 @@
   let otherGroupStoredJobs: GroupSummary | undefined;
   /** Reads and saves the stored jobs, while this scheduler runs them. */
   let storedJobSync: { stop(): void } | undefined;
+  /** Whether the stored jobs are about to be handed over to another group. */
+  let areStoredJobsPaused = false;
   let isStopped = false;
   let listFailedMs = 0;
 
@@ -357,7 +360,22 @@
     });
   }
 
+  function tryPauseStoredJobs(): boolean {
+    const nowMs = readMonotonicMs();
+    const canPause = storedJobSync !== undefined &&
+      canLeaveStoredJobs(state, nowMs);
+    if (!canPause) return false;
+    areStoredJobsPaused = true;
+    // No task of a stored job starts after that, also if the evacuation ends meanwhile.
+    state.roleExclusiveUntilMs = Math.min(
+      state.roleExclusiveUntilMs,
+      nowMs - 1,
+    );
+    return true;
+  }
+
   function confirmRole(atMs: number): void {
+    if (areStoredJobsPaused) return;
     const untilMs = atMs + ROLE_EXCLUSIVE_MS;
     state.roleExclusiveUntilMs = Math.max(state.roleExclusiveUntilMs, untilMs);
   }
@@ -381,6 +399,10 @@
       confirmRole(atMs);
     },
     setRunsStoredJobs,
+    tryPauseStoredJobs,
+    resumeStoredJobs: () => {
+      areStoredJobsPaused = false;
+    },
     readRoleRevision: options.readRoleRevision,
     attach,
     listSuccessors: links.listSuccessors,
--- a/src/vm/start_vm.ts
+++ b/src/vm/start_vm.ts
@@ -141,6 +141,8 @@
       rows.filter((row) => findGroup(layout, row.dataCentre) === group);
     log("groupJoined", { group, groups: groups.length });
     const findHost = () => follower?.findHost();
+    const isGroupOpen = (one: string) =>
+      !isGroupEvacuated(layout, one, evacuations.read());
     heartbeat = startHeartbeat({
       table: ports.table,
       ticker,
@@ -153,7 +155,8 @@
       log,
       group,
       groups,
-      onReturned: () => follower?.restartScheduler("storedJobsReturned"),
+      isOpen: isGroupOpen,
+      onReturned: () => follower?.restartScheduler("storedJobsGiven"),
     });
     summaries = pollGroupSummaries({
       table: ports.table,
@@ -161,7 +164,7 @@
       log,
       groups: others,
       findHost,
-      isOpen: (other) => !isGroupEvacuated(layout, other, evacuations.read()),
+      isOpen: isGroupOpen,
       onRead: storedJobsGroup.review,
     });
     guestLinks = createGuestLinks({
--- a/test/platform/evacuated_data_centre_test.ts
+++ b/test/platform/evacuated_data_centre_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
+import { callNode } from "../fixtures/call_node.ts";
+import { checkRunOverlap } from "../fixtures/check_run_overlap.ts";
 import { createId } from "../fixtures/create_id.ts";
 import { postJob } from "../fixtures/post_job.ts";
 import { startNodes } from "../fixtures/start_nodes.ts";
@@ -9,6 +11,12 @@
 type System = Awaited<ReturnType<typeof startNodes>>;
 
 const JOBS = 10;
+const STORED_JOB = {
+  spec: "{}",
+  steps: [{ count: 2, cpu: 6_800, memMb: 64, estimateMs: 100 }],
+};
+/** Time in which stored jobs move to another group and run there, in ms. */
+const MOVED_WITHIN_MS = 15_000;
 
 describe("a data centre that an operator evacuates, with a group of its own", () => {
   let system: System;
@@ -60,6 +68,42 @@
     await waitForLog(system.nodes[0], "dataCentreEmptied");
   }
 
+  async function submitStored(node: TestNode): Promise<string> {
+    lastId += 1;
+    const id = createId(lastId);
+    const path = `/proofs/${id}`;
+    await waitFor(async () => {
+      const call = { method: "POST", path, body: STORED_JOB };
+      return (await callNode(node, call)).status === 200;
+    });
+    return id;
+  }
+
+  async function waitForCompletion(id: string): Promise<void> {
+    const call = { method: "GET", path: `/proofs/${id}` };
+    await waitFor(async () => {
+      const { body } = await callNode(system.nodes[1], call);
+      return (body as { state?: string }).state === "completed";
+    }, MOVED_WITHIN_MS);
+  }
+
+  test("stored jobs of its group, also those that run, are completed, each task once", async () => {
+    const ids: string[] = [];
+    for (let index = 0; index < JOBS; index += 1) {
+      if (index === JOBS / 2) system.store.put("op", "evacuate/dc-a", {});
+      ids.push(await submitStored(system.nodes[index % system.nodes.length]));
+    }
+    for (const id of ids) await waitForCompletion(id);
+    const row = system.store.read("chivegrade-beat", "scheduler-stored-jobs");
+    assert.deepEqual(row, { group: "dc-b" });
+    const runs = system.workers.flatMap(({ history }) => history)
+      .filter(({ task }) => ids.some((id) => task.startsWith(id)));
+    checkRunOverlap(runs, { isDoneFinal: true });
+    const done = runs.filter(({ how }) => how === "done");
+
+    assert.equal(done.length, ids.length * STORED_JOB.steps[0].count);
+  });
+
   test("its callers are served, and nothing starts there", async () => {
     await evacuate();
     const starts = countStarts();
--- a/test/vm/stored_jobs_group_test.ts
+++ b/test/vm/stored_jobs_group_test.ts
@@ -66,6 +66,33 @@
     assert.equal(world.listRunning().length, 1);
   });
 
+  test("is the first open group at once when the first is evacuated, and stays there", async () => {
+    await world.run(2_000);
+    world.strike({ kind: "evacuated", group: "a", forMs: 5_000 });
+    await world.run(600);
+    assert.deepEqual(world.listRunning(), ["b"]);
+    await world.run(20_000);
+    assert.deepEqual(world.listRunning(), ["b"]);
+    assert.deepEqual(world.violations, []);
+  });
+
+  test("is no evacuated group when the first is lost", async () => {
+    world.strike({ kind: "evacuated", group: "b", forMs: 30_000 });
+    await world.run(2_000);
+    world.strike({ kind: "lost", group: "a", forMs: Infinity });
+    await world.run(13_000);
+    assert.deepEqual(world.listRunning(), ["c"]);
+  });
+
+  test("does not change while all groups are evacuated", async () => {
+    await world.run(2_000);
+    for (const group of GROUPS) {
+      world.strike({ kind: "evacuated", group, forMs: 20_000 });
+    }
+    await world.run(15_000);
+    assert.deepEqual(world.listRunning(), ["a"]);
+  });
+
   // A VM of the version before runs the stored jobs whatever the row says.
   test("is the first group again when its scheduler runs them without looking at the row", async () => {
     await world.run(2_000);
@@ -77,19 +104,20 @@
   });
 });
 
-test("no history of lost, frozen and cut off groups lets two groups run stored jobs at once, or leaves them without a group", async () => {
+const KINDS = ["lost", "frozen", "cutOff", "storeDown", "storeSlow"] as const;
+
+/** Plays histories of faults of the given kinds, in each of which exactly one group has to run the stored jobs at the end. */
+async function checkHistories(
+  kinds: readonly Parameters<
+    ReturnType<typeof createGroupWorld>["strike"]
+  >[0]["kind"][],
+): Promise<void> {
   mock.timers.enable({ apis: ["setTimeout", "setInterval"] });
   const fault = fc.record({
     atMs: fc.integer({ min: 0, max: 60_000 }),
     forMs: fc.integer({ min: 500, max: 25_000 }),
     group: fc.constantFrom(...GROUPS),
-    kind: fc.constantFrom(
-      "lost" as const,
-      "frozen" as const,
-      "cutOff" as const,
-      "storeDown" as const,
-      "storeSlow" as const,
-    ),
+    kind: fc.constantFrom(...kinds),
   });
   const faults = fc.array(fault, { minLength: 1, maxLength: 8 });
   try {
@@ -116,4 +144,10 @@
     mock.timers.reset();
     mock.restoreAll();
   }
-});
+}
+
+test("no history of lost, frozen and cut off groups lets two groups run stored jobs at once, or leaves them without a group", () =>
+  checkHistories(KINDS));
+
+test("no history of evacuated, lost, frozen and cut off groups does either", () =>
+  checkHistories([...KINDS, "evacuated", "evacuated", "evacuated"]));
