--- a/src/vm/start_scheduler_host.ts
+++ b/src/vm/start_scheduler_host.ts
@@ -1,3 +1,7 @@
+import { applyEvacuations } from "../evacuation/apply_evacuations.ts";
+import type { createEvacuationsView } from "../evacuation/create_evacuations_view.ts";
+import { canLeaveStoredJobs } from "../evacuation/can_leave_stored_jobs.ts";
+import { hasSameDataCentres } from "../evacuation/has_same_data_centres.ts";
 import { dropCaller } from "../scheduler/drop_caller.ts";
 import { advanceScheduler } from "../scheduler/advance_scheduler.ts";
 import { computeBacklogs } from "../decide/compute_backlogs.ts";
@@ -66,6 +70,11 @@
   /** The other VMs known at the start: they count as lost until they link. */
   vms: LinkedVm[];
   configurationVersion: () => number;
+  /** This VM's view of the evacuations. Default: there are none. */
+  evacuations?: Pick<
+    ReturnType<typeof createEvacuationsView>,
+    "read" | "update"
+  >;
   readReport: () => Pick<VmReport, "loopDelayMs" | "slowedMs">;
   /** Whether there may be stored jobs, as the last scheduler reported. */
   hasKeptJobs: boolean;
@@ -93,6 +102,7 @@
   if (!isSolo) {
     state.roleExclusiveUntilMs = readMonotonicMs() + ROLE_EXCLUSIVE_MS;
   }
+  applyEvacuations(state, options.evacuations?.read(), readMonotonicMs());
   const startedMs = readMonotonicMs();
   /** When the last heartbeat that reached the store was sent, in ms. */
   let heartbeatSentMs = startedMs;
@@ -106,6 +116,8 @@
   let otherGroupStoredJobs: GroupSummary | undefined;
   /** Reads and saves the stored jobs, while this scheduler runs them. */
   let storedJobSync: { stop(): void } | undefined;
+  /** Whether the stored jobs are about to be handed over to another group. */
+  let areStoredJobsPaused = false;
   let isStopped = false;
   let listFailedMs = 0;
 
@@ -177,6 +189,7 @@
         const isFirst = link.report === undefined;
         link.report = report;
         links.recordReport(vm);
+        options.evacuations?.update(report.evacuations);
         if (isFirst) sendStatus(link, describeStatus());
       },
       submit: (order, progress) => {
@@ -264,7 +277,14 @@
     };
   }
 
-  function sendStatus(link: VmLink, status: SchedulerStatus): void {
+  function sendStatus(link: VmLink, common: SchedulerStatus): void {
+    const isListKnown = hasSameDataCentres(
+      state.evacuations,
+      link.report?.evacuations,
+    );
+    const status = isListKnown
+      ? common
+      : { ...common, evacuations: state.evacuations };
     const hasSentVmList = link.sentVmListVersion === vmList.version;
     const maySendVmList = link.report !== undefined && !link.report.isGuest;
     if (hasSentVmList || !maySendVmList) {
@@ -307,6 +327,7 @@
     state.lostVmCount = links.countSoloVms(nowMs);
     // A VM that was lost at the last written heartbeat, or since, may still run and reach the store, however long ago it was lost.
     if (canConfirmWithoutStore(nowMs)) confirmRole(nowMs);
+    applyEvacuations(state, options.evacuations?.read(), nowMs);
     advanceScheduler(state, nowMs);
   }
 
@@ -339,7 +360,22 @@
     });
   }
 
+  function tryPauseStoredJobs(): boolean {
+    const nowMs = readMonotonicMs();
+    const canPause = storedJobSync !== undefined &&
+      canLeaveStoredJobs(state, nowMs);
+    if (!canPause) return false;
+    areStoredJobsPaused = true;
+    // No task of a stored job starts after that, also if the evacuation ends meanwhile.
+    state.roleExclusiveUntilMs = Math.min(
+      state.roleExclusiveUntilMs,
+      nowMs - 1,
+    );
+    return true;
+  }
+
   function confirmRole(atMs: number): void {
+    if (areStoredJobsPaused) return;
     const untilMs = atMs + ROLE_EXCLUSIVE_MS;
     state.roleExclusiveUntilMs = Math.max(state.roleExclusiveUntilMs, untilMs);
   }
@@ -363,6 +399,10 @@
       confirmRole(atMs);
     },
     setRunsStoredJobs,
+    tryPauseStoredJobs,
+    resumeStoredJobs: () => {
+      areStoredJobsPaused = false;
+    },
     readRoleRevision: options.readRoleRevision,
     attach,
     listSuccessors: links.listSuccessors,
@@ -378,6 +418,9 @@
       state.otherGroupCapacities = [...summaries].flatMap((
         [group, { rooms }],
       ) => rooms.map((room) => ({ ...room, group })));
+      if (summaries.size > 0) {
+        state.lastGroupCapacities = state.otherGroupCapacities;
+      }
       const storedJobsSummary = [...summaries.values()].find(({ pending }) =>
         pending
       );
