load model usable: groups, racks, tails, waves, sizes and a bound

Change: endpoints have a data centre, labels for kind and rack, and may join or end; kinds of jobs have their own CPU, tails and racks; callers have waves and bursts by data centre; one scheduler, or one for each data centre with summaries and passed jobs. Racks, tails and data centres are drawn from a random stream of their own, so a load depends on load and seed only.

--- a/bench/load_model/run_load.ts
+++ b/bench/load_model/run_load.ts
@@ -1,30 +1,28 @@
-import { advanceScheduler } from "../../src/scheduler/advance_scheduler.ts";
-import { applyListing } from "../../src/scheduler/apply_listing.ts";
-import { applyStartReply } from "../../src/scheduler/apply_start_reply.ts";
-import { applyStopReply } from "../../src/scheduler/apply_stop_reply.ts";
-import { createSchedulerState } from "../../src/scheduler/create_scheduler_state.ts";
+import type { GroupCapacity } from "../../src/decide/group_capacity.ts";
 import type { Effect } from "../../src/scheduler/effect.ts";
-import { submitJob } from "../../src/scheduler/submit_job.ts";
-import { takeEffects } from "../../src/scheduler/take_effects.ts";
-import { updateEndpoints } from "../../src/scheduler/update_endpoints.ts";
-import { BinaryHeap } from "../../src/utils/binary_heap.ts";
-import { createRandom } from "../../src/utils/create_random.ts";
+import type { SchedulerLimits } from "../../src/scheduler/scheduler_limits.ts";
 import { createLoad } from "./create_load.ts";
+import { createModelClock } from "./create_model_clock.ts";
+import { createModelGroup } from "./create_model_group.ts";
+import type { ModelGroup } from "./model_group.ts";
 import type { ModelJob } from "./model_job.ts";
 import type { ModelLoad } from "./model_load.ts";
-import type { ModelScore } from "./model_score.ts";
+import type { ModelOutcome } from "./model_outcome.ts";
+import type { ModelResult } from "./model_result.ts";
+import { ONE_WAY_LATENCY_MS } from "./one_way_latency_ms.ts";
 
-/** One-way network latency between the scheduler and an endpoint, in ms. */
-const ONE_WAY_LATENCY_MS = 1.5;
-/** Time between two regular listings of an endpoint, in ms; each run end adds a listing. */
-const LISTING_INTERVAL_MS = 250;
-/** Time between two calls of `advanceScheduler`, in ms. */
-const ADVANCE_INTERVAL_MS = 20;
 /** A job that misses its latency objective still earns reduced credit if it takes at most this many times the objective. */
 const MAX_LATE_FACTOR = 3;
 /** Share of its credit that a late job earns. */
 const LATE_CREDIT_SHARE = 0.2;
-const SCHEDULER_LIMITS = {
+/** Time after the last arrivals at which jobs that are still open earn no credit, in ms. */
+const DRAIN_MS = 8_000;
+/** Interval at which groups publish their free capacity and read that of the others, in ms. */
+const SUMMARY_INTERVAL_MS = 100;
+/** Time of a call of the store, in ms. */
+const STORE_CALL_MS = 4;
+const MILLICORES = 1_000;
+const SCHEDULER_LIMITS: SchedulerLimits = {
   leaseMs: 1_000,
   maxListedEnds: 500,
   stopMs: 50,
@@ -32,208 +30,138 @@
   resendMs: 1_300,
 };
 
-type Run = { run: number; beganMs: number; endsMs: number; isOver: boolean };
-type Worker = {
-  runs: Map<string, Run>;
-  speed: number;
-  /** Run ends not listed yet. */
-  ended: {
-    number: number;
-    task: string;
-    run: number;
-    how: "done" | "stopped";
-  }[];
-  lastEndNumber: number;
-};
-
-/** Runs a load against the scheduler's state machine in simulated time, without network or processes, and returns the credit earned. */
-export function runLoad(load: ModelLoad, seed: number): ModelScore {
-  const random = createRandom(seed);
-  const jobs = createLoad(load, random);
-  const events = new BinaryHeap<() => void>();
-  const state = createSchedulerState(100, {
-    limits: SCHEDULER_LIMITS,
-    nowMs: 0,
-  });
-  const workers = new Map<string, Worker>();
-  const jobsById = new Map<string, ModelJob>();
-  const score: ModelScore = {
-    possibleCredit: 0,
-    earnedCredit: 0,
-    kinds: {},
-    windows: [],
-  };
-  let nowMs = 0;
+/** Runs a load against the schedulers' state machines in simulated time, without network or processes. */
+export function runLoad(
+  load: ModelLoad,
+  seed: number,
+  limits: Partial<SchedulerLimits> = {},
+): ModelResult {
+  const jobs = createLoad(load, seed);
+  const clock = createModelClock();
+  const open = new Map<string, ModelOutcome>();
+  const result: ModelResult = { outcomes: [], stoppedRuns: 0, stoppedWork: 0 };
+  const groups = new Map<string, ModelGroup>();
 
-  /** Schedules a callback at a simulated time. */
-  function addEvent(atMs: number, run: () => void): void {
-    events.push(() => {
-      nowMs = atMs;
-      run();
-    }, atMs);
+  function findOpen(id: string): ModelOutcome {
+    return open.get(id) as ModelOutcome;
   }
 
-  /** Applies an event to the scheduler's state and runs the effects that it returns. */
-  function advance(applyEvent: () => void): void {
-    applyEvent();
-    for (const effect of takeEffects(state)) runEffect(effect);
+  function recordStart(job: ModelJob): void {
+    const outcome = findOpen(job.order.id);
+    const firstStartMs = clock.readNow() - job.atMs;
+    outcome.firstStartMs = Math.min(outcome.firstStartMs, firstStartMs);
   }
 
-  function runEffect(effect: Effect): void {
-    if (effect.type === "startTask") {
-      addEvent(nowMs + ONE_WAY_LATENCY_MS, () => startRun(effect));
-    } else if (effect.type === "stopRun") {
-      const { endpointId, task, run } = effect;
-      addEvent(
-        nowMs + ONE_WAY_LATENCY_MS,
-        () => endRun(endpointId, task, { run, how: "stopped" }),
-      );
-      addEvent(
-        nowMs + 2 * ONE_WAY_LATENCY_MS,
-        () => advance(() => applyStopReply(state, effect, nowMs)),
-      );
-    } else if (effect.type === "notifyEnded") {
-      recordOutcome(effect.jobId, effect.outcome.type);
-    }
+  function recordStop(job: ModelJob, ranMs: number): void {
+    result.stoppedRuns += 1;
+    result.stoppedWork += ranMs * job.order.steps[0].room.cpu / MILLICORES;
   }
 
-  function startRun(start: Extract<Effect, { type: "startTask" }>): void {
-    const worker = workers.get(start.endpointId) as Worker;
-    const job = jobsById.get(start.task.job.order.id) as ModelJob;
-    const index = start.task.job.tasks.indexOf(start.task);
-    const endsMs = nowMs + job.taskMs[index] / worker.speed;
-    const { run } = start;
-    const { name } = start.task;
-    worker.runs.set(name, { run, beganMs: nowMs, endsMs, isOver: false });
-    addEvent(
-      nowMs + ONE_WAY_LATENCY_MS,
-      () =>
-        advance(() =>
-          applyStartReply(state, start, { reply: { type: "accepted" }, nowMs })
-        ),
-    );
-    addEvent(
-      endsMs,
-      () => endRun(start.endpointId, name, { run, how: "done" }),
-    );
+  function applyEffect(effect: Effect): void {
+    if (effect.type === "notifyEnded") {
+      const outcome = findOpen(effect.jobId);
+      const tookMs = clock.readNow() - outcome.job.atMs;
+      const isDone = effect.outcome.type === "completed";
+      outcome.creditShare = isDone
+        ? computeCreditShare(outcome.job, tookMs)
+        : 0;
+      outcome.firstStartMs = Math.min(outcome.firstStartMs, tookMs);
+    } else if (effect.type === "notifyPassed") {
+      const outcome = findOpen(effect.jobId);
+      outcome.wasPassed = true;
+      const target = groups.get(effect.group) as ModelGroup;
+      const atMs = clock.readNow() + 2 * ONE_WAY_LATENCY_MS;
+      clock.runAt(atMs, () => submit(target, outcome));
+    }
   }
 
-  function endRun(
-    id: string,
-    task: string,
-    end: { run: number; how: "done" | "stopped" },
-  ): void {
-    const worker = workers.get(id) as Worker;
-    if (worker.runs.get(task)?.run !== end.run) return;
-    worker.runs.delete(task);
-    worker.lastEndNumber += 1;
-    worker.ended.push({ number: worker.lastEndNumber, task, ...end });
-    addEvent(nowMs + ONE_WAY_LATENCY_MS, () => applyEndpointListing(id));
+  function submit(group: ModelGroup, outcome: ModelOutcome): void {
+    const { job, wasPassed } = outcome;
+    const { ageMs } = job.order;
+    const waitedMs = clock.readNow() - findSentMs(load, job);
+    group.submit({ ...job.order, ageMs: ageMs + waitedMs, wasPassed });
   }
 
-  function applyEndpointListing(id: string): void {
-    const worker = workers.get(id) as Worker;
-    const running = [...worker.runs].map(([task, run]) => ({
-      task,
-      run: run.run,
-      progress: Math.min(
-        0.99,
-        (nowMs - run.beganMs) / (run.endsMs - run.beganMs),
+  for (const name of listGroupNames(load)) {
+    const group = createModelGroup(clock, {
+      name,
+      endpoints: load.endpoints.filter((endpoint) =>
+        findGroupName(load, endpoint.dataCentre) === name
       ),
-    }));
-    const { ended } = worker;
-    worker.ended = [];
-    advance(() =>
-      applyListing(state, id, {
-        sentMs: nowMs - 2 * ONE_WAY_LATENCY_MS,
-        receivedMs: nowMs,
-        clockMs: nowMs,
-        processStartMs: 1,
-        running,
-        ended,
-      })
-    );
-  }
-
-  function recordOutcome(id: string, type: string): void {
-    const job = jobsById.get(id) as ModelJob;
-    const tookMs = nowMs - job.atMs;
-    const isDone = type === "completed";
-    const creditShare = !isDone || tookMs > MAX_LATE_FACTOR * job.objectiveMs
-      ? 0
-      : tookMs <= job.objectiveMs
-      ? 1
-      : LATE_CREDIT_SHARE;
-    score.earnedCredit += creditShare * job.credit;
-    const kind = score.kinds[job.kind];
-    kind.earnedCredit += creditShare;
-    if (creditShare === 1) kind.inTime += 1;
-    else if (creditShare > 0) kind.late += 1;
-    else kind.withoutCredit += 1;
-    score.windows[Math.floor(job.atMs / 2_000)].earnedCredit += creditShare *
-      job.credit;
-  }
-
-  function send(job: ModelJob): void {
-    const sentMs = findSentMs(load, job);
-    const ageMs = job.order.ageMs + nowMs - sentMs;
-    const order = { ...job.order, ageMs };
-    advance(() => submitJob(state, order, { vm: "vm", nowMs }));
-  }
-
-  function repeatListing(id: string): void {
-    applyEndpointListing(id);
-    addEvent(nowMs + LISTING_INTERVAL_MS, () => repeatListing(id));
-  }
-
-  function advanceTime(): void {
-    advance(() => advanceScheduler(state, nowMs));
-    addEvent(nowMs + ADVANCE_INTERVAL_MS, advanceTime);
-  }
-
-  const rows = load.endpoints.map(({ cpu }, index) => ({
-    id: `e${index}`,
-    address: "model",
-    service: "model",
-    dataCentre: "a",
-    labels: [],
-    room: { cpu, memoryMb: 1e6, gpus: 0 },
-    isDraining: false,
-  }));
-  load.endpoints.forEach(({ speed }, index) => {
-    workers.set(`e${index}`, {
-      runs: new Map(),
-      speed,
-      ended: [],
-      lastEndNumber: 0,
+      limits: { ...SCHEDULER_LIMITS, ...limits },
+      hasOtherGroups: load.groups === "byDataCentre",
+      findJob: (id) => findOpen(id).job,
+      onStart: recordStart,
+      onStop: recordStop,
+      onEffect: applyEffect,
     });
-  });
-  advance(() => updateEndpoints(state, rows, { nowMs, isListReliable: true }));
-  rows.forEach(({ id }, index) => addEvent(index, () => repeatListing(id)));
-  advanceTime();
-  for (let windowMs = 0; windowMs < load.durationMs; windowMs += 2_000) {
-    score.windows.push({ possibleCredit: 0, earnedCredit: 0 });
+    groups.set(name, group);
   }
+  if (groups.size > 1) repeatSummaries(clock, [...groups.values()]);
   for (const job of jobs) {
-    jobsById.set(job.order.id, job);
-    const kind = score.kinds[job.kind] ??= {
-      possibleCredit: 0,
-      earnedCredit: 0,
-      inTime: 0,
-      late: 0,
-      withoutCredit: 0,
+    const outcome: ModelOutcome = {
+      job,
+      creditShare: 0,
+      firstStartMs: load.durationMs + DRAIN_MS - job.atMs,
+      wasPassed: false,
     };
-    kind.possibleCredit += 1;
-    score.possibleCredit += job.credit;
-    score.windows[Math.floor(job.atMs / 2_000)].possibleCredit += job.credit;
+    open.set(job.order.id, outcome);
+    result.outcomes.push(outcome);
+    const group = groups.get(findGroupName(load, job.dataCentre));
     const sentMs = findSentMs(load, job);
     const { fromMs = 0, linkedMs = 0 } = load.outage ?? {};
     const waitsForScheduler = sentMs >= fromMs && sentMs < linkedMs;
-    addEvent(waitsForScheduler ? linkedMs : sentMs, () => send(job));
+    const atMs = waitsForScheduler ? linkedMs : sentMs;
+    clock.runAt(atMs, () => submit(group as ModelGroup, outcome));
   }
-  // Jobs still open 8 s after the last arrivals earn no credit.
-  while (nowMs < load.durationMs + 8_000) (events.pop() as () => void)();
-  return score;
+  clock.runUntil(load.durationMs + DRAIN_MS);
+  return result;
+}
+
+/** Publishes the free capacity of each group regularly, and lets each read what the others published. */
+function repeatSummaries(
+  clock: ReturnType<typeof createModelClock>,
+  groups: ModelGroup[],
+): void {
+  const published = new Map<string, GroupCapacity[]>();
+  function runEvery(atMs: number, run: () => void): void {
+    clock.runAt(atMs, () => {
+      run();
+      runEvery(atMs + SUMMARY_INTERVAL_MS, run);
+    });
+  }
+  groups.forEach((group, index) => {
+    const phaseMs = index * SUMMARY_INTERVAL_MS / groups.length;
+    runEvery(phaseMs, () => {
+      const capacities = group.describeCapacity();
+      const atMs = clock.readNow() + STORE_CALL_MS;
+      clock.runAt(atMs, () => published.set(group.name, capacities));
+    });
+    runEvery(phaseMs + SUMMARY_INTERVAL_MS / 2, () => {
+      const others = [...published].flatMap(([name, capacities]) =>
+        name === group.name ? [] : capacities
+      );
+      const read = others.map((capacity) => ({ ...capacity }));
+      const atMs = clock.readNow() + STORE_CALL_MS;
+      clock.runAt(atMs, () => group.setOtherCapacities(read));
+    });
+  });
+}
+
+function computeCreditShare(job: ModelJob, tookMs: number): number {
+  if (tookMs <= job.objectiveMs) return 1;
+  return tookMs <= MAX_LATE_FACTOR * job.objectiveMs ? LATE_CREDIT_SHARE : 0;
+}
+
+function listGroupNames(load: ModelLoad): string[] {
+  const names = load.endpoints.map(({ dataCentre }) =>
+    findGroupName(load, dataCentre)
+  );
+  return [...new Set(names)];
+}
+
+function findGroupName({ groups }: ModelLoad, dataCentre: string): string {
+  return groups === "one" ? "all" : dataCentre;
 }
 
 /** Finds the time at which a job is sent to a VM that accepts it: its arrival, or its repetition after an outage. */
