--- a/bench/load_model/compute_score.ts
+++ b/bench/load_model/compute_score.ts
@@ -1,16 +1,18 @@
 import { computeBound } from "./compute_bound.ts";
 import { computeTally } from "./compute_tally.ts";
 import type { ModelLoad } from "./model_load.ts";
-import type { ModelOutcome } from "./model_outcome.ts";
 import type { ModelResult } from "./model_result.ts";
-import type { ModelScore } from "./model_score.ts";
-import type { ModelTally } from "./model_tally.ts";
 
 const MS_PER_SECOND = 1_000;
 
-/** Computes the figures of a load that was run. */
-export function computeScore(load: ModelLoad, result: ModelResult): ModelScore {
-  const { outcomes } = result;
+type ModelTally = ReturnType<typeof computeTally>;
+type ModelOutcome = ModelResult["outcomes"][number];
+
+/** Computes the figures of a load over all its runs, one for each seed; counts are means of a run. */
+export function computeScore(load: ModelLoad, runs: ModelResult[]) {
+  const outcomes = runs.flatMap((run) => run.outcomes);
+  const computeMean = (read: (run: ModelResult) => number) =>
+    runs.reduce((sum, run) => sum + read(run), 0) / runs.length;
   const byKind = splitByKey(outcomes, ({ job }) => job.kind);
   const windows = splitByTime(outcomes, load.durationMs, 2_000);
   const worst = windows.map(({ creditShare }) => creditShare)
@@ -18,24 +20,35 @@
     .sort((one, other) => one - other)
     .slice(0, 2);
   return {
+    name: load.name,
     total: computeTally(outcomes),
     kinds: computeTallies(byKind),
+    /** By kind and size class: the largest tenth of a kind by work, the fifth below it, the rest. */
     sizes: computeTallies(splitBySize(byKind)),
     dataCentres: computeTallies(
       splitByKey(outcomes, ({ job }) => job.dataCentre),
     ),
+    /** By time of arrival, in windows of 2 s. */
     windows,
+    /** By kind and second of arrival. */
     seconds: Object.fromEntries(
       [...byKind].map(([kind, jobs]) => [
         kind,
         splitByTime(jobs, load.durationMs, MS_PER_SECOND),
       ]),
     ),
+    /** Mean of the two lowest credit shares of the windows. */
     worstWindows: worst.reduce((sum, share) => sum + share, 0) / worst.length,
-    boundShare: computeBound(load, outcomes.map(({ job }) => job)),
-    stoppedRuns: result.stoppedRuns,
-    stoppedCoreSeconds: result.stoppedWork / MS_PER_SECOND,
-    passedJobs: outcomes.filter(({ wasPassed }) => wasPassed).length,
+    /** Upper bound of the share of the possible credit, whatever the policy. */
+    boundShare: computeMean((run) =>
+      computeBound(load, run.outcomes.map(({ job }) => job))
+    ),
+    stoppedRuns: computeMean(({ stoppedRuns }) => stoppedRuns),
+    stoppedCoreSeconds: computeMean(({ stoppedWork }) => stoppedWork) /
+      MS_PER_SECOND,
+    passedJobs: computeMean((run) =>
+      run.outcomes.filter(({ wasPassed }) => wasPassed).length
+    ),
   };
 }
 
--- a/bench/load_model/create_group_cases.ts
+++ b/bench/load_model/create_group_cases.ts
@@ -1,6 +1,4 @@
-import type { ModelCase } from "./model_case.ts";
-import type { ModelEndpoint } from "./model_endpoint.ts";
-import type { ModelKind } from "./model_kind.ts";
+import { createKinds } from "./create_kinds.ts";
 import type { ModelLoad } from "./model_load.ts";
 
 /** Time during which jobs arrive, in ms. */
@@ -10,29 +8,26 @@
 const ENDPOINTS_PER_RACK = 6;
 const LARGE_CPU = { mean: 16_000, sigma: 0.2, max: 24_000 };
 const SMALL_CPU = { mean: 8_000, sigma: 0.2, max: 12_000 };
-const TAIL = { share: 0.03, factor: 7 };
+/** Arrival rate that keeps about half of the capacity busy. */
+const RATE = 1.75;
 
 /** Endpoints of two sizes, the larger ones faster; a task takes about half of a small one. */
 const UNEVEN = {
   endpoints: createEndpoints({ cpu: 32_000, speeds: [0.7, 1.7] }),
-  kinds: [
-    createKind("short", { perSecond: 42, cpu: LARGE_CPU }),
-    createKind("long", { perSecond: 7.7, cpu: LARGE_CPU }),
-    createKind("medium", { perSecond: 123, cpu: LARGE_CPU }),
-  ],
+  kinds: createKinds({ rate: RATE, cpu: LARGE_CPU }),
 };
 /** Endpoints of two sizes and one speed; a few tasks take seven times their time. */
 const TAILED = {
   endpoints: createEndpoints({ cpu: 16_000, speeds: [1, 1] }),
-  kinds: [
-    createKind("short", { perSecond: 42, cpu: SMALL_CPU, tail: TAIL }),
-    createKind("long", { perSecond: 7.7, cpu: SMALL_CPU, tail: TAIL }),
-    createKind("medium", { perSecond: 123, cpu: SMALL_CPU, tail: TAIL }),
-  ],
+  kinds: createKinds({
+    rate: RATE,
+    cpu: SMALL_CPU,
+    tail: { share: 0.03, factor: 7 },
+  }),
 };
 
 /** Creates the cases of three data centres with a group each, by the pattern of their load. */
-export function createGroupCases(): ModelCase[] {
+export function createGroupCases(): ModelLoad[] {
   const [north, middle, south] = DATA_CENTRES;
   return [
     createCase("quiet day", {}),
@@ -75,7 +70,7 @@
       ),
     }),
     createCase("a rack that everybody wants", {
-      kinds: UNEVEN.kinds.map((kind) => ({ ...kind, rackShare: 0.3 })),
+      kinds: createKinds({ rate: RATE, cpu: LARGE_CPU, rackShare: 0.3 }),
       hotRacks: [{
         fromMs: 5_000,
         toMs: 11_000,
@@ -92,8 +87,9 @@
   ];
 }
 
-function createCase(name: string, change: Partial<ModelLoad>): ModelCase {
-  const load: ModelLoad = {
+function createCase(name: string, change: Partial<ModelLoad>): ModelLoad {
+  return {
+    name,
     durationMs: DURATION_MS,
     ...UNEVEN,
     groups: "byDataCentre",
@@ -105,13 +101,12 @@
     hotRacks: [],
     ...change,
   };
-  return { name, load };
 }
 
 /** Creates the endpoints of all data centres; every third one is of the second kind and half as large again. */
 function createEndpoints(
   options: { cpu: number; speeds: [number, number] },
-): ModelEndpoint[] {
+): ModelLoad["endpoints"] {
   return DATA_CENTRES.flatMap((dataCentre) =>
     Array.from({ length: ENDPOINTS_PER_DATA_CENTRE }, (_, index) => {
       const isLarge = index % 3 === 2;
@@ -125,16 +120,3 @@
     })
   );
 }
-
-/** Creates a kind of job: many short tasks, a few long ones, or a couple between. */
-function createKind(
-  name: "short" | "long" | "medium",
-  options: Pick<ModelKind, "perSecond" | "cpu" | "tail">,
-): ModelKind {
-  const shapes = {
-    short: { workMs: 60, taskCount: 8, priority: 0, credit: 0.00485 },
-    long: { workMs: 900, taskCount: 4, priority: 2, credit: 0.0267 },
-    medium: { workMs: 200, taskCount: 2, priority: 1, credit: 0.00167 },
-  };
-  return { name, ...shapes[name], ...options };
-}
--- a/bench/load_model/create_load.ts
+++ b/bench/load_model/create_load.ts
@@ -1,6 +1,5 @@
 import { createRandom } from "../../src/utils/create_random.ts";
 import type { ModelJob } from "./model_job.ts";
-import type { ModelKind } from "./model_kind.ts";
 import type { ModelLoad } from "./model_load.ts";
 
 /** Log-normal sigma of the work and the task count of jobs of one kind, and by default of callers' estimates. */
@@ -42,6 +41,7 @@
   return jobs;
 }
 
+type ModelKind = ModelLoad["kinds"][number];
 type Rate = { dataCentre: string; perMs: number };
 
 /** Computes the arrival rate of a kind by data centre. */
--- a/bench/load_model/create_model_group.ts
+++ b/bench/load_model/create_model_group.ts
@@ -11,13 +11,14 @@
 import { takeEffects } from "../../src/scheduler/take_effects.ts";
 import { updateEndpoints } from "../../src/scheduler/update_endpoints.ts";
 import { createModelWorker } from "./create_model_worker.ts";
-import type { ModelClock } from "./model_clock.ts";
-import type { ModelEndpoint } from "./model_endpoint.ts";
-import type { ModelGroup } from "./model_group.ts";
+import type { createModelClock } from "./create_model_clock.ts";
+import type { ModelLoad } from "./model_load.ts";
+import type { GroupCapacity } from "../../src/decide/group_capacity.ts";
+import type { JobOrder } from "../../src/scheduler/job_order.ts";
 import type { ModelJob } from "./model_job.ts";
-import type { ModelWorker } from "./model_worker.ts";
-import { ONE_WAY_LATENCY_MS } from "./one_way_latency_ms.ts";
 
+/** One-way network latency between the scheduler and an endpoint, in ms. */
+const ONE_WAY_LATENCY_MS = 1.5;
 /** Time between two regular listings of an endpoint, in ms; each run end adds a listing. */
 const LISTING_INTERVAL_MS = 250;
 /** Time between two calls of `advanceScheduler`, in ms. */
@@ -27,10 +28,10 @@
 
 /** Creates a group whose scheduler runs in simulated time. */
 export function createModelGroup(
-  clock: ModelClock,
+  clock: ReturnType<typeof createModelClock>,
   options: {
     name: string;
-    endpoints: ModelEndpoint[];
+    endpoints: ModelLoad["endpoints"];
     limits: SchedulerLimits;
     hasOtherGroups: boolean;
     findJob: (id: string) => ModelJob;
@@ -39,15 +40,34 @@
     /** Called with each effect that is not an order to an endpoint. */
     onEffect: (effect: Effect) => void;
   },
-): ModelGroup {
+) {
   const { name, endpoints, limits, hasOtherGroups } = options;
   const state = createSchedulerState(100, {
     limits,
     nowMs: clock.readNow(),
     hasOtherGroups,
   });
-  const workers = new Map<string, ModelWorker>();
   const ids = endpoints.map((_, index) => `${name}-${index}`);
+  const workers = new Map(
+    endpoints.map((endpoint, index) => [
+      ids[index],
+      createModelWorker(clock, {
+        endpoint,
+        remoteFactor: limits.remoteFactor,
+        onStart: options.onStart,
+        onStop: options.onStop,
+        onEnd: () =>
+          clock.runAfter(
+            ONE_WAY_LATENCY_MS,
+            () => applyWorkerListing(ids[index]),
+          ),
+      }),
+    ]),
+  );
+
+  function findWorker(id: string): ReturnType<typeof createModelWorker> {
+    return workers.get(id) as ReturnType<typeof createModelWorker>;
+  }
 
   /** Applies an event to the scheduler's state and runs the effects that it returns. */
   function advance(applyEvent: (nowMs: number) => void): void {
@@ -55,18 +75,16 @@
     for (const effect of takeEffects(state)) runEffect(effect);
   }
 
-  function runAfter(afterMs: number, run: () => void): void {
-    clock.runAt(clock.readNow() + afterMs, run);
-  }
-
   function runEffect(effect: Effect): void {
     if (effect.type === "startTask") {
-      runAfter(ONE_WAY_LATENCY_MS, () => startRun(effect));
+      clock.runAfter(ONE_WAY_LATENCY_MS, () => startRun(effect));
     } else if (effect.type === "stopRun") {
       const { endpointId, task, run } = effect;
-      const worker = workers.get(endpointId) as ModelWorker;
-      runAfter(ONE_WAY_LATENCY_MS, () => worker.stop(task, run));
-      runAfter(
+      clock.runAfter(
+        ONE_WAY_LATENCY_MS,
+        () => findWorker(endpointId).stop(task, run),
+      );
+      clock.runAfter(
         2 * ONE_WAY_LATENCY_MS,
         () => advance((nowMs) => applyStopReply(state, effect, nowMs)),
       );
@@ -75,21 +93,20 @@
 
   function startRun(start: Extract<Effect, { type: "startTask" }>): void {
     const { task, run } = start;
-    (workers.get(start.endpointId) as ModelWorker).start({
-      job: options.findJob(task.job.order.id),
+    findWorker(start.endpointId).start(options.findJob(task.job.order.id), {
       index: task.job.tasks.indexOf(task),
       task: task.name,
       run,
     });
     const reply = { type: "accepted" } as const;
-    runAfter(
+    clock.runAfter(
       ONE_WAY_LATENCY_MS,
       () => advance((nowMs) => applyStartReply(state, start, { reply, nowMs })),
     );
   }
 
   function applyWorkerListing(id: string): void {
-    const listing = (workers.get(id) as ModelWorker).list();
+    const listing = findWorker(id).list();
     advance((nowMs) =>
       applyListing(state, id, {
         sentMs: nowMs - 2 * ONE_WAY_LATENCY_MS,
@@ -103,15 +120,18 @@
 
   function repeatListing(id: string): void {
     applyWorkerListing(id);
-    runAfter(LISTING_INTERVAL_MS, () => repeatListing(id));
+    clock.runAfter(LISTING_INTERVAL_MS, () => repeatListing(id));
   }
 
   function advanceTime(): void {
     advance((nowMs) => advanceScheduler(state, nowMs));
-    runAfter(ADVANCE_INTERVAL_MS, advanceTime);
+    clock.runAfter(ADVANCE_INTERVAL_MS, advanceTime);
   }
 
-  function createRow(endpoint: ModelEndpoint, id: string): EndpointRow {
+  function createRow(
+    endpoint: ModelLoad["endpoints"][number],
+    id: string,
+  ): EndpointRow {
     return {
       id,
       address: "model",
@@ -135,33 +155,25 @@
     );
   }
 
-  endpoints.forEach((endpoint, index) => {
-    const id = ids[index];
-    const worker = createModelWorker(clock, {
-      endpoint,
-      remoteFactor: limits.remoteFactor,
-      onStart: options.onStart,
-      onStop: options.onStop,
-      onEnd: () => runAfter(ONE_WAY_LATENCY_MS, () => applyWorkerListing(id)),
-    });
-    workers.set(id, worker);
-  });
   readRows();
   endpoints.forEach(({ fromMs = 0, toMs }, index) => {
     clock.runAt(fromMs + index, () => repeatListing(ids[index]));
     if (fromMs > 0) clock.runAt(fromMs, readRows);
     if (toMs === undefined) return;
     clock.runAt(toMs - DRAIN_MS, readRows);
-    clock.runAt(toMs, () => workers.get(ids[index])?.stopAll());
+    clock.runAt(toMs, () => findWorker(ids[index]).stopAll());
   });
   advanceTime();
   return {
     name,
-    submit: (order) =>
+    /** Submits a job that a VM of the group received. */
+    submit: (order: JobOrder) =>
       advance((nowMs) => submitJob(state, order, { vm: name, nowMs })),
+    /** Describes the free capacity that the group publishes. */
     describeCapacity: () =>
       describeGroupCapacity(state).map((room) => ({ ...room, group: name })),
-    setOtherCapacities: (capacities) => {
+    /** Applies what the other groups published. */
+    setOtherCapacities: (capacities: GroupCapacity[]) => {
       state.otherGroupCapacities = capacities;
     },
   };
--- a/bench/load_model/create_model_worker.ts
+++ b/bench/load_model/create_model_worker.ts
@@ -1,8 +1,7 @@
 import type { RunEnd } from "../../src/scheduler/run_end.ts";
-import type { ModelClock } from "./model_clock.ts";
-import type { ModelEndpoint } from "./model_endpoint.ts";
+import type { createModelClock } from "./create_model_clock.ts";
+import type { ModelLoad } from "./model_load.ts";
 import type { ModelJob } from "./model_job.ts";
-import type { ModelWorker } from "./model_worker.ts";
 
 /** Highest progress that an active run reports. */
 const MAX_PROGRESS = 0.99;
@@ -11,16 +10,16 @@
 
 /** Creates a simulated endpoint; tasks outside the rack of their data take `remoteFactor` times their time. */
 export function createModelWorker(
-  clock: ModelClock,
+  clock: ReturnType<typeof createModelClock>,
   options: {
-    endpoint: ModelEndpoint;
+    endpoint: ModelLoad["endpoints"][number];
     remoteFactor: number;
     onStart: (job: ModelJob) => void;
     onEnd: () => void;
     /** Called with the job of a run that was stopped and the time for which it ran, in ms. */
     onStop: (job: ModelJob, ranMs: number) => void;
   },
-): ModelWorker {
+) {
   const { endpoint, remoteFactor } = options;
   const runs = new Map<string, Run>();
   let ended: RunEnd[] = [];
@@ -42,7 +41,11 @@
   }
 
   return {
-    start: ({ job, index, task, run }) => {
+    /** Starts a task of a job, given by its index. */
+    start: (
+      job: ModelJob,
+      { index, task, run }: { index: number; task: string; run: number },
+    ) => {
       const { rack } = job.order.steps[0];
       const isRemote = rack !== undefined && !endpoint.labels.includes(rack);
       const factor = isRemote ? remoteFactor : 1;
@@ -52,10 +55,13 @@
       options.onStart(job);
       clock.runAt(endsMs, () => endRun(task, { run, how: "done" }));
     },
-    stop: (task, run) => endRun(task, { run, how: "stopped" }),
+    /** Ends a run early; ignores one that has ended. */
+    stop: (task: string, run: number) => endRun(task, { run, how: "stopped" }),
+    /** Ends all runs early. */
     stopAll: () => {
       for (const [task, { run }] of runs) endRun(task, { run, how: "stopped" });
     },
+    /** Lists the active runs, and the run ends that were not listed before. */
     list: () => {
       const running = [...runs].map(([task, { run, beganMs, endsMs }]) => ({
         task,
--- a/bench/load_model/model_result.ts
+++ b/bench/load_model/model_result.ts
@@ -1,8 +1,16 @@
-import type { ModelOutcome } from "./model_outcome.ts";
+import type { ModelJob } from "./model_job.ts";
 
 /** What became of the jobs of a load. */
 export type ModelResult = {
-  outcomes: ModelOutcome[];
+  outcomes: {
+    job: ModelJob;
+    /** Earned share of the job's credit, 0 to 1. */
+    creditShare: number;
+    /** Time from the arrival until the first task began, in ms; for a job of which none began, until the job ended. */
+    firstStartMs: number;
+    /** Whether the job was passed to another group. */
+    wasPassed: boolean;
+  }[];
   stoppedRuns: number;
   /** CPU time of the stopped runs, in core-ms. */
   stoppedWork: number;
--- a/bench/load_model/run_load.ts
+++ b/bench/load_model/run_load.ts
@@ -1,15 +1,13 @@
 import type { GroupCapacity } from "../../src/decide/group_capacity.ts";
 import type { Effect } from "../../src/scheduler/effect.ts";
 import type { SchedulerLimits } from "../../src/scheduler/scheduler_limits.ts";
+import { SCHEDULER_LIMITS } from "../../test/fixtures/scheduler_limits.ts";
 import { createLoad } from "./create_load.ts";
 import { createModelClock } from "./create_model_clock.ts";
 import { createModelGroup } from "./create_model_group.ts";
-import type { ModelGroup } from "./model_group.ts";
 import type { ModelJob } from "./model_job.ts";
 import type { ModelLoad } from "./model_load.ts";
-import type { ModelOutcome } from "./model_outcome.ts";
 import type { ModelResult } from "./model_result.ts";
-import { ONE_WAY_LATENCY_MS } from "./one_way_latency_ms.ts";
 
 /** A job that misses its latency objective still earns reduced credit if it takes at most this many times the objective. */
 const MAX_LATE_FACTOR = 3;
@@ -21,14 +19,12 @@
 const SUMMARY_INTERVAL_MS = 100;
 /** Time of a call of the store, in ms. */
 const STORE_CALL_MS = 4;
+/** Time from the decision to pass a job until it reaches the other group, in ms. */
+const PASS_MS = 3;
 const MILLICORES = 1_000;
-const SCHEDULER_LIMITS: SchedulerLimits = {
-  leaseMs: 1_000,
-  maxListedEnds: 500,
-  stopMs: 50,
-  remoteFactor: 1.5,
-  resendMs: 1_300,
-};
+
+type ModelGroup = ReturnType<typeof createModelGroup>;
+type ModelOutcome = ModelResult["outcomes"][number];
 
 /** Runs a load against the schedulers' state machines in simulated time, without network or processes. */
 export function runLoad(
@@ -70,8 +66,7 @@
       const outcome = findOpen(effect.jobId);
       outcome.wasPassed = true;
       const target = groups.get(effect.group) as ModelGroup;
-      const atMs = clock.readNow() + 2 * ONE_WAY_LATENCY_MS;
-      clock.runAt(atMs, () => submit(target, outcome));
+      clock.runAfter(PASS_MS, () => submit(target, outcome));
     }
   }
 
@@ -134,16 +129,17 @@
     const phaseMs = index * SUMMARY_INTERVAL_MS / groups.length;
     runEvery(phaseMs, () => {
       const capacities = group.describeCapacity();
-      const atMs = clock.readNow() + STORE_CALL_MS;
-      clock.runAt(atMs, () => published.set(group.name, capacities));
+      clock.runAfter(
+        STORE_CALL_MS,
+        () => published.set(group.name, capacities),
+      );
     });
     runEvery(phaseMs + SUMMARY_INTERVAL_MS / 2, () => {
       const others = [...published].flatMap(([name, capacities]) =>
         name === group.name ? [] : capacities
       );
       const read = others.map((capacity) => ({ ...capacity }));
-      const atMs = clock.readNow() + STORE_CALL_MS;
-      clock.runAt(atMs, () => group.setOtherCapacities(read));
+      clock.runAfter(STORE_CALL_MS, () => group.setOtherCapacities(read));
     });
   });
 }
--- a/test/load_model/load_model_test.ts
+++ b/test/load_model/load_model_test.ts
@@ -9,12 +9,12 @@
 
 /** Loads of all cases, cut so that the first events of each are in them. */
 const LOADS: ModelLoad[] = [...createBurstCases(), ...createGroupCases()]
-  .map(({ load }) => ({ ...load, durationMs: 6_000 }));
+  .map((load) => ({ ...load, durationMs: 6_000 }));
 
 function findGroupLoad(name: string): ModelLoad {
   const found = createGroupCases().find((other) => other.name === name);
   assert.ok(found);
-  return { ...found.load, durationMs: 6_000 };
+  return { ...found, durationMs: 6_000 };
 }
 
 describe("the load model", () => {
@@ -66,7 +66,7 @@
 
   test("no case earns more credit than its bound", () => {
     for (const load of LOADS) {
-      const { total, boundShare } = computeScore(load, runLoad(load, 1));
+      const { total, boundShare } = computeScore(load, [runLoad(load, 1)]);
 
       assert.ok(total.creditShare <= boundShare + 1e-9);
       assert.ok(boundShare <= 1 + 1e-9);
@@ -77,7 +77,7 @@
     const load = createOneSlotLoad();
     const [job] = createLoad(load, 1);
     const score = (jobs: number) =>
-      computeScore(load, {
+      computeScore(load, [{
         outcomes: Array.from({ length: jobs }, () => ({
           job: { ...job, objectiveMs: job.taskMs[0] },
           creditShare: 1,
@@ -86,7 +86,7 @@
         })),
         stoppedRuns: 0,
         stoppedWork: 0,
-      }).boundShare;
+      }]).boundShare;
 
     assert.ok(Math.abs(score(1) - 1) < 1e-9);
     assert.ok(score(20) < 0.4);
@@ -96,6 +96,7 @@
 /** Creates a load of jobs of one task that takes all of the only endpoint. */
 function createOneSlotLoad(): ModelLoad {
   return {
+    name: "one slot",
     durationMs: 1_000,
     endpoints: [{ cpu: 1_000, speed: 1, dataCentre: "a", labels: [] }],
     groups: "one",
