Tests of crowds of clients outside the limits, which show the faults

Cause: nothing bounds what uncontrolled clients hold in a process. Crowds and bounds are fixed here, before the product changes; real processes on loopback, limits lowered in the tests' settings (node: 210 MB, 500 descriptors, heap of 160 MB, bodies of 1 MB; entry and control: 256 MB, 500 descriptors). Checked: the process lives, peak of resident memory, open descriptors, one ordinary request is answered while the crowd stays and after it has left.

Change: test/crowd/, which run_tests runs one file at a time after all others; fixtures; settings keys memoryMb and maxFds of both roles, not yet acted on (the schema refuses unknown keys).

--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -8,27 +8,46 @@
 const MAX_CONCURRENT_FILES = 3;
 /** Time after which a test file is ended and counts as failed, in ms. */
 const FILE_TIMEOUT_MS = 150_000;
+/** The tests of crowds of clients, whose files run one at a time after all others: what a process holds depends on its neighbours. */
+const CROWD_FOLDER = join("test", "crowd");
+/** Time after which a file of the tests of crowds is ended, in ms; longer, as each of its tests starts a system. */
+const CROWD_FILE_TIMEOUT_MS = 400_000;
 
 const knownRedTests = readKnownRed();
 const counts = { passed: 0, failed: 0, knownRed: [] as string[] };
 
 await buildBundles();
 const files = findTestFiles(process.argv.slice(2));
-const stream = run({
-  files,
+const isCrowd = (file: string) => file.startsWith(CROWD_FOLDER);
+await runFiles(files.filter((file) => !isCrowd(file)), {
   concurrency: MAX_CONCURRENT_FILES,
   timeout: FILE_TIMEOUT_MS,
 });
-stream.on("test:pass", (event) => {
-  if (isTest(event)) counts.passed += 1;
+await runFiles(files.filter(isCrowd), {
+  concurrency: 1,
+  timeout: CROWD_FILE_TIMEOUT_MS,
 });
-stream.on("test:fail", (event) => {
-  if (!isTest(event)) return;
-  if (knownRedTests.includes(event.name)) counts.knownRed.push(event.name);
-  else counts.failed += 1;
-});
-stream.on("end", printCounts);
-stream.compose(new spec()).pipe(process.stdout);
+printCounts();
+
+/** Runs test files and adds their results to the counts. */
+async function runFiles(
+  files: string[],
+  options: { concurrency: number; timeout: number },
+): Promise<void> {
+  if (files.length === 0) return;
+  const stream = run({ files, ...options });
+  stream.on("test:pass", (event) => {
+    if (isTest(event)) counts.passed += 1;
+  });
+  stream.on("test:fail", (event) => {
+    if (!isTest(event)) return;
+    if (knownRedTests.includes(event.name)) counts.knownRed.push(event.name);
+    else counts.failed += 1;
+  });
+  for await (const text of stream.compose(new spec())) {
+    process.stdout.write(text);
+  }
+}
 
 /** Returns whether an event is about a test rather than a suite. */
 function isTest(event: { details?: { type?: string } }): boolean {
--- a/src/settings/common_settings_schema.ts
+++ b/src/settings/common_settings_schema.ts
@@ -15,4 +15,8 @@
   ),
   /** StatsD address that metrics are sent to; none are sent when it is absent. */
   metricsAddress: addressSchema.optional(),
+  /** Memory that the process may use, in MB. @default 512 */
+  memoryMb: z.int().min(64).default(512),
+  /** Descriptors that the process may open. @default 4096 */
+  maxFds: z.int().min(256).default(4_096),
 });
