Bound what clients outside the limits may hold in a process

Cause: the servers set no bound on connections, unfinished bodies, requests sent ahead or unread answers; bodies went through web streams, and every request of a connection was begun at once.

Change: one guard per process (src/client_limits/, pure decisions), shared by all its HTTP servers, with shares of memoryMb and maxFds; src/http/ carries it out before the application: bodies received raw into blocks that are used again, requests of one connection one at a time, the connection without progress closed when there are too many, the body or unread answer with most bytes times age refused, headers of 8 KB, 60 s for headers and 120 s for a request (none before). Refusals say "not run" only of requests that were not handed on. The applications' own checks of a body's size moved there.

--- /dev/null
+++ b/src/client_limits/client_limits.ts
@@ -0,0 +1,11 @@
+/** The limits on all clients of a process together. */
+export type ClientLimits = {
+  /** Most connections. */
+  maxConnections: number;
+  /** Most memory for bodies that are being received, in bytes. */
+  maxBodyBytes: number;
+  /** Most memory for answers that clients have not read, in bytes. */
+  maxAnswerBytes: number;
+  /** Most requests that wait for the answer to an earlier one of their connection. */
+  maxQueuedRequests: number;
+};
--- /dev/null
+++ b/src/client_limits/compute_client_limits.ts
@@ -0,0 +1,30 @@
+import type { ClientLimits } from "./client_limits.ts";
+import type { ProcessLimits } from "./process_limits.ts";
+
+/** Descriptors that are not available for sockets. */
+const FILE_DESCRIPTORS = 200;
+/** Share of the sockets that clients may hold; the others are for the store, endpoints and links. */
+const CLIENT_SHARE = 1 / 2;
+/** Share of the memory for each of connections, bodies and answers. */
+const MEMORY_SHARE = 1 / 8;
+/** Share of the memory for queued requests. */
+const QUEUE_SHARE = 1 / 32;
+/** Memory of an idle connection or a queued request, in bytes, with its buffers and headers. */
+const REQUEST_BYTES = 16 * 1_024;
+const MB = 1_024 * 1_024;
+
+/** Computes the limits on clients as shares of what the process may use. */
+export function computeClientLimits(process: ProcessLimits): ClientLimits {
+  const memoryBytes = process.memoryMb * MB;
+  const sockets = process.maxFds - FILE_DESCRIPTORS;
+  const connections = Math.min(
+    sockets * CLIENT_SHARE,
+    memoryBytes * MEMORY_SHARE / REQUEST_BYTES,
+  );
+  return {
+    maxConnections: Math.max(1, Math.floor(connections)),
+    maxBodyBytes: Math.floor(memoryBytes * MEMORY_SHARE),
+    maxAnswerBytes: Math.floor(memoryBytes * MEMORY_SHARE),
+    maxQueuedRequests: Math.floor(memoryBytes * QUEUE_SHARE / REQUEST_BYTES),
+  };
+}
--- a/src/control/create_operator_app.ts
+++ b/src/control/create_operator_app.ts
@@ -1,6 +1,5 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
-import { bodyLimit } from "hono/body-limit";
 import { findOperator } from "../auth/find_operator.ts";
 import { isTokenValid } from "../auth/is_token_valid.ts";
 import { computeVersionDigest } from "../config/compute_version_digest.ts";
@@ -13,9 +12,6 @@
 import { patchRequestSchema } from "./patch_request.ts";
 import { readVersion } from "./read_version.ts";
 
-/** Largest request body of a patch, in bytes. */
-const MAX_PATCH_BYTES = 4 * 1024 * 1024;
-
 /** Creates the HTTP API for operators: health, status, configuration, versions and patches. */
 export function createOperatorApp(context: ControlContext): Hono {
   const app = new Hono();
@@ -38,7 +34,6 @@
   });
   app.post(
     "/patches",
-    bodyLimit({ maxSize: MAX_PATCH_BYTES }),
     async (http) => {
       const author = findAuthor(context, http);
       if (!author) return refuseToken(http);
--- a/src/control/start_control.ts
+++ b/src/control/start_control.ts
@@ -1,3 +1,4 @@
+import { createRoleGuard } from "../http/create_role_guard.ts";
 import { startHttpServer } from "../http/start_http_server.ts";
 import { createLogger } from "../log/create_logger.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
@@ -6,6 +7,7 @@
 import { startPeerServer } from "../peer/start_peer_server.ts";
 import { createHttpPlatform } from "../store/create_http_platform.ts";
 import type { ControlSettings } from "../settings/control_settings.ts";
+import { formatRefusal } from "./format_refusal.ts";
 import { pollPeers } from "./poll_peers.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ControlHandle } from "./control_handle.ts";
@@ -14,6 +16,9 @@
 import { pollPlatform } from "./poll_platform.ts";
 import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
 
+/** Largest request body of a patch, in bytes. */
+const MAX_PATCH_BYTES = 4 * 1024 * 1024;
+
 /** Starts a control daemon. */
 export async function startControl(
   settings: ControlSettings,
@@ -26,9 +31,13 @@
     createControlHandlers(context),
   );
   const operatorServer = await startHttpServer(
-    createOperatorApp(context),
-    settings.operatorAddress,
-    "operatorAddress",
+    {
+      app: createOperatorApp(context),
+      readMaxBodyBytes: () => MAX_PATCH_BYTES,
+      formatRefusal,
+    },
+    { address: settings.operatorAddress, key: "operatorAddress" },
+    createRoleGuard(settings, context),
   );
   pollPlatform(context);
   pollPeers(context);
--- a/src/entry/create_caller_app.ts
+++ b/src/entry/create_caller_app.ts
@@ -1,6 +1,5 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
-import { bodyLimit } from "hono/body-limit";
 import { isTokenValid } from "../auth/is_token_valid.ts";
 import { findOperator } from "../auth/find_operator.ts";
 import { computeRequestDigest } from "../decide/job/compute_request_digest.ts";
@@ -28,15 +27,6 @@
 export function createCallerApp(context: EntryContext): Hono {
   const app = new Hono();
   const schema = createSubmissionSchema(context.settings);
-  const limit = bodyLimit({
-    maxSize: context.settings.maxRequestBytes,
-    onError: (http) =>
-      refuseInput(http, 413, {
-        kind: "requestTooLarge",
-        message:
-          `The body is over ${context.settings.maxRequestBytes} bytes; split the job`,
-      }),
-  });
 
   app.get("/health", (http) => {
     const ready = isEntryReady(context);
@@ -60,7 +50,7 @@
     return http.json({ stopping: true }, 202);
   });
 
-  app.post("/v1/jobs", limit, async (http) => {
+  app.post("/v1/jobs", async (http) => {
     const submission = schema.safeParse(await readJson(http));
     if (!submission.success) {
       return refuseInput(http, 400, {
@@ -171,7 +161,7 @@
 
 function refuseInput(
   http: Context,
-  status: 400 | 413,
+  status: 400,
   failure: { kind: string; message: string },
 ): Response {
   return http.json({ status: "refused", failure, notRun: true }, status);
--- a/src/entry/start_entry.ts
+++ b/src/entry/start_entry.ts
@@ -1,4 +1,5 @@
 import { createEndpointSender } from "../endpoint/create_endpoint_sender.ts";
+import { createRoleGuard } from "../http/create_role_guard.ts";
 import { startHttpServer } from "../http/start_http_server.ts";
 import { createLogger } from "../log/create_logger.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
@@ -14,6 +15,7 @@
 import { createCallerApp } from "./create_caller_app.ts";
 import { createEntryContext } from "./create_entry_context.ts";
 import { createPeerHandlers } from "./create_peer_handlers.ts";
+import { formatRefusal } from "./format_refusal.ts";
 import type { EntryContext } from "./entry_context.ts";
 import type { EntryHandle } from "./entry_handle.ts";
 import { watchView } from "./watch_view.ts";
@@ -42,9 +44,13 @@
     level: settings.logLevel,
   });
   const callerServer = await startHttpServer(
-    createCallerApp(context),
-    settings.callerAddress,
-    "callerAddress",
+    {
+      app: createCallerApp(context),
+      readMaxBodyBytes: () => settings.maxRequestBytes,
+      formatRefusal,
+    },
+    { address: settings.callerAddress, key: "callerAddress" },
+    createRoleGuard(settings, context),
   );
   const stopWatching = watchView(context, services.control);
   waitForVersion(context).then(() => startLoops(context));
--- /dev/null
+++ b/src/http/create_connection_handler.ts
@@ -0,0 +1,150 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { ClientConnection } from "../client_limits/client_connection.ts";
+import type { ClientGuard } from "../client_limits/client_guard.ts";
+import type { MemoryHolder } from "../client_limits/memory_holder.ts";
+import { readMonotonicMs } from "../utils/read_monotonic_ms.ts";
+import { answerRefusal } from "./answer_refusal.ts";
+import type { HttpRefusal } from "./http_refusal.ts";
+import type { HttpService } from "./http_service.ts";
+import { receiveBody } from "./receive_body.ts";
+
+type Request = { incoming: IncomingMessage; outgoing: ServerResponse };
+type Connection = ClientConnection & { current?: Request; queue: Request[] };
+
+/** Most requests of one connection that wait behind the one that is being answered. */
+const MAX_QUEUED_REQUESTS = 16;
+/** Time after which a client may retry whose body took memory that others needed, in ms. */
+const REFUSED_RETRY_MS = 1_000;
+
+/**
+ * Creates the handlers of a server's connections and requests. A connection's
+ * requests are taken one at a time, and each is handed to `serve` once its body
+ * is whole.
+ */
+export function createConnectionHandler(
+  guard: ClientGuard,
+  service: Pick<HttpService, "readMaxBodyBytes" | "formatRefusal">,
+  serve: (incoming: IncomingMessage, outgoing: ServerResponse) => unknown,
+) {
+  const connections = new WeakMap<Socket, Connection>();
+
+  function handleConnection(socket: Socket): void {
+    const connection: Connection = {
+      progressMs: readMonotonicMs(),
+      isServed: false,
+      close: () => socket.destroy(),
+      queue: [],
+    };
+    connections.set(socket, connection);
+    socket.once("close", () => {
+      guard.forgetConnection(connection);
+      dropQueue(connection);
+    });
+    guard.addConnection(connection);
+  }
+
+  function handleRequest(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): void {
+    const connection = connections.get(incoming.socket);
+    if (!connection || !incoming.socket.writable) return;
+    const request = { incoming, outgoing };
+    if (!connection.current) return beginRequest(connection, request);
+    const isFull = connection.queue.length >= MAX_QUEUED_REQUESTS;
+    if (!isFull && guard.takeQueuePlace()) {
+      connection.queue.push(request);
+      return;
+    }
+    guard.record("queuedRequests");
+    connection.close();
+  }
+
+  function beginRequest(connection: Connection, request: Request): void {
+    const { incoming, outgoing } = request;
+    connection.current = request;
+    connection.progressMs = readMonotonicMs();
+    outgoing.once("prefinish", () => holdAnswer(connection, request));
+    outgoing.once("close", () => {
+      connection.progressMs = readMonotonicMs();
+      connection.isServed = false;
+      connection.current = undefined;
+      const next = connection.queue.shift();
+      if (!next) return;
+      guard.releaseQueuePlaces(1);
+      // An answer that closes the connection is its last.
+      if (!incoming.socket.writable) return dropQueue(connection);
+      beginRequest(connection, next);
+    });
+    if (hasNoHost(incoming)) {
+      guard.record("malformed");
+      outgoing.writeHead(400, { connection: "close" }).end();
+    } else if (hasBody(incoming)) void receiveRequest(connection, request);
+    else handOver(connection, request);
+  }
+
+  async function receiveRequest(
+    connection: Connection,
+    request: Request,
+  ): Promise<void> {
+    const maxBytes = service.readMaxBodyBytes();
+    const body = await receiveBody(request.incoming, {
+      maxBytes,
+      bodies: guard.bodies,
+      onProgress: () => {
+        connection.progressMs = readMonotonicMs();
+      },
+    });
+    if (body.type === "broken") return;
+    if (body.type === "whole") {
+      // The adapter reads a body from this property where there is one.
+      Object.assign(request.incoming, { rawBody: body.bytes });
+      return handOver(connection, request);
+    }
+    const refusal: HttpRefusal = body.type === "tooLarge"
+      ? { reason: "bodyTooLarge", maxBytes }
+      : { reason: "unfinishedBodies", retryAfterMs: REFUSED_RETRY_MS };
+    guard.record(refusal.reason);
+    answerRefusal(request, refusal, service.formatRefusal(refusal));
+  }
+
+  function handOver(connection: Connection, request: Request): void {
+    if (request.outgoing.destroyed) return;
+    connection.isServed = true;
+    serve(request.incoming, request.outgoing);
+  }
+
+  /** Counts what the client has not read of an answer, once the answer has been written whole. */
+  function holdAnswer(connection: Connection, request: Request): void {
+    const { socket } = request.incoming;
+    connection.isServed = false;
+    const bytes = socket.writableLength;
+    if (bytes === 0) return;
+    const answer: MemoryHolder = {
+      bytes,
+      sinceMs: readMonotonicMs(),
+      refuse: connection.close,
+    };
+    request.outgoing.once("close", () => guard.forgetAnswer(answer));
+    guard.addAnswer(answer);
+  }
+
+  function dropQueue(connection: Connection): void {
+    guard.releaseQueuePlaces(connection.queue.length);
+    connection.queue = [];
+  }
+
+  return { handleConnection, handleRequest };
+}
+
+/** Whether a request lacks the host that HTTP/1.1 requires. */
+function hasNoHost({ headers, httpVersion }: IncomingMessage): boolean {
+  return headers.host === undefined && httpVersion === "1.1";
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  const length = headers["content-length"];
+  return headers["transfer-encoding"] !== undefined ||
+    (length !== undefined && length !== "0");
+}
--- /dev/null
+++ b/src/http/http_service.ts
@@ -0,0 +1,11 @@
+import type { Hono } from "hono";
+import type { HttpRefusal } from "./http_refusal.ts";
+
+/** What an HTTP server serves. */
+export type HttpService = {
+  app: Hono;
+  /** Largest body of a request, in bytes. */
+  readMaxBodyBytes(): number;
+  /** Formats the body of the answer to a request that is refused; it is sent as JSON. */
+  formatRefusal(refusal: HttpRefusal): object;
+};
--- /dev/null
+++ b/src/http/received_body.ts
@@ -0,0 +1,4 @@
+/** A body that has been received, or why it was not. */
+export type ReceivedBody =
+  | { type: "whole"; bytes: Buffer }
+  | { type: "tooLarge" | "refused" | "broken" };
--- a/src/http/start_http_server.ts
+++ b/src/http/start_http_server.ts
@@ -1,10 +1,21 @@
-import { serve } from "@hono/node-server";
-import type { Hono } from "hono";
+import { getRequestListener } from "@hono/node-server";
+import { createServer } from "node:http";
 import type { Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { ClientGuard } from "../client_limits/client_guard.ts";
 import { ChivegradeError } from "../errors/chivegrade_error.ts";
+import { createConnectionHandler } from "./create_connection_handler.ts";
+import { handleClientError } from "./handle_client_error.ts";
+import type { HttpService } from "./http_service.ts";
 
 /** Time after which an idle connection is closed, in ms. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Time within which the headers of a request must arrive, in ms. */
+const HEADERS_TIMEOUT_MS = 60_000;
+/** Time within which a whole request must arrive, in ms. */
+const REQUEST_TIMEOUT_MS = 120_000;
+/** Largest headers of a request, in bytes. */
+const MAX_HEADER_BYTES = 8_192;
 /** Interval at which idle connections are closed while a server stops, in ms. */
 const IDLE_CLOSE_INTERVAL_MS = 50;
 
@@ -15,20 +26,37 @@
  * when the address can't be listened on.
  */
 export function startHttpServer(
-  app: Hono,
-  address: string,
-  key: string,
+  service: HttpService,
+  at: { address: string; key: string },
+  guard: ClientGuard,
 ): Promise<{ port: number; stop(): Promise<void> }> {
+  const { address, key } = at;
   const separator = address.lastIndexOf(":");
   const hostname = address.slice(0, separator);
   const port = Number(address.slice(separator + 1));
+  const handler = createConnectionHandler(
+    guard,
+    service,
+    getRequestListener(service.app.fetch, { hostname }),
+  );
+  const server = createServer({
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    // Requests without a host are refused by the handler, which limits how many wait.
+    requireHostHeader: false,
+  }, handler.handleRequest);
+  server.on("connection", handler.handleConnection);
+  server.on("clientError", (error, socket) => {
+    handleClientError(error, socket as Socket, guard);
+  });
   return new Promise((resolve, reject) => {
-    const server = serve({ fetch: app.fetch, hostname, port }, (info) => {
-      resolve({ port: info.port, stop: () => stopServer(server) });
-    }) as Server;
-    server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-    server.requestTimeout = 0;
     server.on("error", (cause) => reject(createBindError(key, address, cause)));
+    server.listen(port, hostname, () => {
+      const { port } = server.address() as AddressInfo;
+      resolve({ port, stop: () => stopServer(server) });
+    });
   });
 }
 
--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -12,6 +12,7 @@
   stored: ["job", "outcome", "tookMs"],
   cancelAsked: ["job", "isKnown"],
   storeNotAsked: ["job", "message"],
+  clientsRefused: ["reason", "count"],
   jobAccepted: [
     "job",
     "route",
--- a/src/settings/common_settings_schema.ts
+++ b/src/settings/common_settings_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { DEFAULT_PROCESS_LIMITS } from "../client_limits/default_process_limits.ts";
 import { addressSchema } from "./address_schema.ts";
 
 /** The schema of the settings that both roles have. */
@@ -15,8 +16,8 @@
   ),
   /** StatsD address that metrics are sent to; none are sent when it is absent. */
   metricsAddress: addressSchema.optional(),
-  /** Memory that the process may use, in MB. @default 512 */
-  memoryMb: z.int().min(64).default(512),
-  /** Descriptors that the process may open. @default 4096 */
-  maxFds: z.int().min(256).default(4_096),
+  /** Memory that the process may use, in MB; limits on clients are shares of it. @default 512 */
+  memoryMb: z.int().min(64).default(DEFAULT_PROCESS_LIMITS.memoryMb),
+  /** Descriptors that the process may open; limits on clients are shares of it. @default 4096 */
+  maxFds: z.int().min(256).default(DEFAULT_PROCESS_LIMITS.maxFds),
 });
