Bound the body of a request while a node has no configuration

Cause: found in the review of the limits on clients. The largest body is in the configuration; before a node has read one, a body of any size was received, and a single body may exceed the memory of all bodies together.

Change: without a configuration a body may have as many bytes as all bodies together.

--- a/src/client_limits/body_store.ts
+++ b/src/client_limits/body_store.ts
@@ -9,6 +9,8 @@
     /** Closes the body and forgets its bytes. */
     drop(): void;
   };
+  /** Most memory for all bodies together, in bytes. */
+  maxBytes: number;
   /** Memory that bodies hold, in bytes. */
   readBytes(): number;
 };
--- a/src/client_limits/create_body_store.ts
+++ b/src/client_limits/create_body_store.ts
@@ -69,6 +69,7 @@
         drop: () => dropBody(body),
       };
     },
+    maxBytes,
     readBytes: pool.readTakenBytes,
   };
 }
