Play evacuations in the scheduler's fuzzing

Cause: no history had an evacuation beside takeovers, lost links, outages of the store and restarted processes.

Change: a fault evacuates one of two data centres; a check of its own finds each start that is sent there by a scheduler that could know: 600 ms after the later of the evacuation and the store's return, and from the first start on for one that began during the evacuation. Histories without the fault are as before.

--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -190,6 +190,23 @@
   return fc.tuple(outage, others).map((faults) => faults.flat());
 }
 
+/** Creates the faults of a history in which data centres are evacuated, again and again and at times both, while schedulers are replaced, VMs lose their links and the store is down. */
+export function createEvacuationFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const evacuations = createArray(["evacuated"], {
+    minLength: 1,
+    maxLength: 5,
+    maxDurationMs: 6_000,
+    lastIndex: 3,
+  });
+  const others = createArray([...KINDS, ...LINK_KINDS, "storeDown"], {
+    minLength: 0,
+    maxLength: 6,
+    maxDurationMs: 3_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(evacuations, others).map((faults) => faults.flat());
+}
+
 /** Creates the faults of a history in which tasks crash the endpoints that start them. */
 export function createCrashFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const crashes = createArray(["tasksCrash"], {
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -36,6 +36,8 @@
     | "storeDown"
     /** The store answers no call: writes that are under way fail after their time-out, and the scheduler reads all stored jobs again afterwards. */
     | "storeSilent"
+    /** The operator evacuates the endpoint's data centre, which is `a` or `b` by turns in histories with this fault. */
+    | "evacuated"
     /** A client cancels the newest stored job. */
     | "cancel"
     /** A VM's link to the scheduler is closed; the VM opens no other until the end of the fault. */
--- a/test/scheduler_fuzz/fuzz_host.ts
+++ b/test/scheduler_fuzz/fuzz_host.ts
@@ -1,3 +1,6 @@
+import { applyEvacuations } from "../../src/evacuation/apply_evacuations.ts";
+import { canStartIn } from "../../src/evacuation/can_start_in.ts";
+import type { Evacuations } from "../../src/evacuation/evacuations.ts";
 import { classifyRepeatedStart } from "../../src/decide/classify_repeated_start.ts";
 import { advanceScheduler } from "../../src/scheduler/advance_scheduler.ts";
 import { applyListing } from "../../src/scheduler/apply_listing.ts";
@@ -25,6 +28,10 @@
 /** Time between two readings of the store's endpoint rows. */
 const ROWS_POLL_INTERVAL_MS = 400;
 const HEARTBEAT_INTERVAL_MS = 100;
+/** Time between two readings of the operator's rows. */
+const EVACUATIONS_POLL_INTERVAL_MS = 300;
+/** Bound for evacuations, in histories in which there are some. */
+const EVACUATE_MS = 5_000;
 /** Time after a heartbeat during which no other VM can take the scheduler role over. */
 const ROLE_EXCLUSIVE_MS = 280;
 /** Time-out of a start or stop order. */
@@ -56,6 +63,12 @@
   findCallDelays(host: FuzzHost, endpoint: FuzzEndpoint): CallDelays;
   /** Returns the store's list of endpoints; undefined when it can't be read. */
   listRows(): EndpointRow[] | undefined;
+  /** Whether there are evacuations in the history. */
+  hasEvacuations: boolean;
+  /** Returns the evacuated data centres; undefined when the host can't read them. */
+  readEvacuations(host: FuzzHost): Evacuations | undefined;
+  /** Called with each start that a host sends. */
+  recordSend(host: FuzzHost, endpoint: FuzzEndpoint): void;
   /** Whether the host holds the scheduler role, so that its heartbeats reach the store. */
   hasRole(host: FuzzHost): boolean;
   /** Called for each heartbeat that reaches the store. */
@@ -70,6 +83,9 @@
 export class FuzzHost {
   readonly state: SchedulerState;
   isAlive = true;
+  readonly isSolo: boolean;
+  /** Whether the process reaches the store, as far as its VM does. */
+  readonly canReachStore: () => boolean;
   #world: FuzzWorld;
   #listRows: () => EndpointRow[] | undefined;
   #polledEndpoints = new Set<string>();
@@ -78,12 +94,24 @@
     world: FuzzWorld,
     token: number,
     /** Given for a solo VM: the endpoints of its share, and whether stored jobs may exist. */
-    solo?: { listShare: () => EndpointRow[]; hasKeptJobs: boolean },
+    solo?: {
+      listShare: () => EndpointRow[];
+      hasKeptJobs: boolean;
+      /** What the VM knew of the evacuations before. */
+      evacuations?: Evacuations;
+      canReachStore: () => boolean;
+    },
   ) {
     this.#world = world;
+    this.isSolo = solo !== undefined;
+    this.canReachStore = solo?.canReachStore ?? (() => true);
     this.#listRows = solo?.listShare ?? world.listRows;
     this.state = createSchedulerState(token, {
-      limits: { ...SCHEDULER_LIMITS, maxListedEnds: world.maxListedEnds },
+      limits: {
+        ...SCHEDULER_LIMITS,
+        maxListedEnds: world.maxListedEnds,
+        evacuateMs: world.hasEvacuations ? EVACUATE_MS : undefined,
+      },
       nowMs: world.readNow(),
       isSolo: solo !== undefined,
       hasKeptJobs: solo?.hasKeptJobs,
@@ -100,6 +128,16 @@
       ADVANCE_INTERVAL_MS,
       () => advanceScheduler(this.state, world.readNow()),
     );
+    if (world.hasEvacuations) {
+      applyEvacuations(this.state, solo?.evacuations, world.readNow());
+      const read = (nowMs: number) =>
+        applyEvacuations(this.state, world.readEvacuations(this), nowMs);
+      // A VM in solo mode has read the rows before; any other scheduler may have just started.
+      world.runAfter(
+        solo ? 0 : EVACUATIONS_POLL_INTERVAL_MS,
+        () => this.#repeat(EVACUATIONS_POLL_INTERVAL_MS, read),
+      );
+    }
     this.#repeat(ROWS_POLL_INTERVAL_MS, () => this.#readRows());
   }
 
@@ -110,7 +148,7 @@
     for (const effect of takeEffects(this.state)) this.#run(effect);
   }
 
-  #repeat(everyMs: number, run: () => void): void {
+  #repeat(everyMs: number, run: (nowMs: number) => void): void {
     if (!this.isAlive) return;
     this.applyDecision(run);
     this.#world.runAfter(everyMs, () => this.#repeat(everyMs, run));
@@ -211,6 +249,7 @@
         task.run === run && task.phase === "starting" && !task.job.outcome;
       if (
         received.type === "unanswered" && isStarting &&
+        canStartIn(this.state, known.row.dataCentre) &&
         earlierSends + 1 < MAX_START_SENDS
       ) {
         this.#start(effect, earlierSends + 1);
@@ -229,6 +268,7 @@
         })
       );
     };
+    this.#world.recordSend(this, endpoint);
     const workMs = this.#world.readWorkMs(task.name);
     this.#call(endpoint, {
       timeoutMs: this.#readOrderTimeout(),
--- a/test/scheduler_fuzz/fuzz_vms.ts
+++ b/test/scheduler_fuzz/fuzz_vms.ts
@@ -1,3 +1,4 @@
+import type { Evacuations } from "../../src/evacuation/evacuations.ts";
 import type { Effect } from "../../src/scheduler/effect.ts";
 import { canHaveStoredJobs } from "../../src/scheduler/can_have_stored_jobs.ts";
 import type { JobOrder } from "../../src/scheduler/job_order.ts";
@@ -37,6 +38,8 @@
   epoch: number;
   /** Whether the VM's last scheduler may have had stored jobs. */
   hasKeptJobs: boolean;
+  /** What the VM's last scheduler knew of the evacuations. */
+  evacuations?: Evacuations;
   /** How often the VM has lost a link; detects a loss between two events. */
   linkLosses: number;
 };
@@ -275,7 +278,10 @@
 
   /** Ends a link on the VM's side. */
   #drop(vm: Vm): void {
-    if (vm.link) vm.hasKeptJobs = canHaveStoredJobs(vm.link.state);
+    if (vm.link) {
+      vm.hasKeptJobs = canHaveStoredJobs(vm.link.state);
+      vm.evacuations = vm.link.state.evacuations;
+    }
     vm.link = undefined;
     vm.linkLosses += 1;
     // Without an outage a takeover gives the VM a scheduler before solo mode would begin.
@@ -308,6 +314,8 @@
       vmNames: VM_NAMES,
       token: computeFencingToken(vm.epoch, number),
       hasKeptJobs: vm.hasKeptJobs,
+      evacuations: vm.evacuations,
+      canReachStore: () => vm.storeOutages === 0,
     });
     vm.link = vm.solo;
     this.#submitAll((one) => one === vm);
@@ -334,6 +342,8 @@
     vmNames: string[];
     token: number;
     hasKeptJobs: boolean;
+    evacuations: Evacuations | undefined;
+    canReachStore: () => boolean;
   }): FuzzHost;
   receiveOutcome(jobId: string, outcome: JobOutcome): void;
 };
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -3,6 +3,7 @@
 import {
   createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
+  createEvacuationFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
   createLongOutageFaultArbitrary,
@@ -30,6 +31,7 @@
   cuts: createOverlappingCutFaultArbitrary(),
   losses: createRepeatedLossFaultArbitrary(),
   outages: createLongOutageFaultArbitrary(),
+  evacuations: createEvacuationFaultArbitrary(),
   crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -16,6 +16,7 @@
   createStep,
 } from "../fixtures/create_scheduler_driver.ts";
 import { findWrongCounts } from "./find_wrong_counts.ts";
+import { FuzzEvacuations } from "./fuzz_evacuations.ts";
 import type { Fault } from "./fault.ts";
 import { FuzzEndpoint } from "./fuzz_endpoint.ts";
 import { FuzzHost } from "./fuzz_host.ts";
@@ -62,6 +63,8 @@
 /** Shortest time between two new epochs that reclaim endpoints. */
 const EPOCH_RAISE_INTERVAL_MS = 700;
 const DATA_CENTRE = "a";
+/** Data centre of every other endpoint in histories with evacuations. */
+const OTHER_DATA_CENTRE = "b";
 /** Factor of run times in histories with solo VMs: runs outlast a VM's change to solo mode and back. */
 const LINK_RUN_FACTOR = 4;
 /** Factor of run times in histories with links to earlier schedulers: runs outlast the waits for runs that another scheduler started. */
@@ -95,6 +98,10 @@
   const hasAges = faults.some(({ kind }) =>
     kind === "tasksCrash" || kind === "runsLong"
   );
+  const hasEvacuations = faults.some(({ kind }) => kind === "evacuated");
+  const evacuations = new FuzzEvacuations();
+  /** When the store took calls again after its last outage. */
+  let storeSinceMs = 0;
   const hasEarlierLinks = faults.some(({ kind }) => kind === "linkToEarlier");
   const events = new BinaryHeap<() => void>();
   const stored = new Map<string, StoredJob>();
@@ -217,16 +224,38 @@
     if (!isAnyTakenOver || !isDue || !vms.isLinkedToAll(host)) return;
     lastRaiseMs = nowMs;
     epoch += 1;
-    reclaimEndpoints(host.state, epoch * 100, new Set([DATA_CENTRE]));
+    reclaimEndpoints(
+      host.state,
+      epoch * 100,
+      new Set([DATA_CENTRE, OTHER_DATA_CENTRE]),
+    );
+  }
+
+  function findDataCentre(endpoint: FuzzEndpoint): string {
+    const isOther = hasEvacuations && endpoints.indexOf(endpoint) % 2 === 1;
+    return isOther ? OTHER_DATA_CENTRE : DATA_CENTRE;
+  }
+
+  /** Records a violation when a host sends a start to an evacuated data centre although it could know. */
+  function recordSend(host: FuzzHost, endpoint: FuzzEndpoint): void {
+    const dataCentre = findDataCentre(endpoint);
+    const canReach = !isStoreDown() && host.canReachStore();
+    const at = {
+      dataCentre,
+      nowMs,
+      storeSinceMs: canReach ? storeSinceMs : Infinity,
+    };
+    if (!evacuations.isKnowable(host, at)) return;
+    oracle.violations.push(`${nowMs}: start sent to evacuated ${dataCentre}`);
   }
 
   function listEndpointRows() {
     return endpoints.filter((endpoint) => !isFaulty("unlisted", endpoint))
-      .map(({ id }) => ({
-        id,
+      .map((endpoint) => ({
+        id: endpoint.id,
         address: "fuzz",
         service: "layout",
-        dataCentre: DATA_CENTRE,
+        dataCentre: findDataCentre(endpoint),
         labels: [],
         room: { cpu: 16_000, memoryMb: 64_000, gpus: 0 },
         isDraining: false,
@@ -240,6 +269,10 @@
   const world: FuzzWorld = {
     endpoints,
     maxListedEnds,
+    hasEvacuations,
+    readEvacuations: (host) =>
+      isStoreDown() || !host.canReachStore() ? undefined : evacuations.read(),
+    recordSend,
     readNow: () => nowMs,
     runAfter,
     isDown: (endpoint) => isFaulty("processRestart", endpoint),
@@ -259,14 +292,14 @@
     findCurrent: () => current,
     findEarlier: () => earlier?.isAlive ? earlier : undefined,
     readEpoch: () => epoch,
-    beginSolo: ({ name, vmNames, token, hasKeptJobs }) => {
+    beginSolo: ({ name, vmNames, token, ...known }) => {
       const all = vmNames.map((one) => ({
         name: one,
         dataCentre: DATA_CENTRE,
       }));
       const vm = { name, dataCentre: DATA_CENTRE };
       const listShare = () => computeEndpointShare(listEndpointRows(), vm, all);
-      return new FuzzHost(world, token, { listShare, hasKeptJobs });
+      return new FuzzHost(world, token, { listShare, ...known });
     },
     receiveOutcome: (id, outcome) => {
       outcomes.set(id, outcome);
@@ -448,9 +481,13 @@
     if (fault.kind === "cut") cutHosts.set(fault, current);
     if (fault.kind === "runsFail") endpoint.isFailing = true;
     if (fault.kind === "runsHang") endpoint.isHanging = true;
+    const dataCentre = findDataCentre(endpoint);
+    if (fault.kind === "evacuated") evacuations.begin(dataCentre, nowMs);
     activeFaults.add(fault);
     runAfter(fault.forMs, () => {
       activeFaults.delete(fault);
+      if (fault.kind === "evacuated") evacuations.end(dataCentre);
+      if (fault.kind.startsWith("store")) storeSinceMs = nowMs;
       if (hasSilences && fault.kind.startsWith("store")) readStoredAgain();
       endpoint.isFailing = isFaulty("runsFail", endpoint);
       endpoint.isHanging = isFaulty("runsHang", endpoint);
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -4,6 +4,7 @@
 import {
   createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
+  createEvacuationFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
   createLongOutageFaultArbitrary,
@@ -22,6 +23,7 @@
 const CUT_HISTORIES = 40;
 const LOSS_HISTORIES = 25;
 const OUTAGE_HISTORIES = 25;
+const EVACUATION_HISTORIES = 25;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -110,6 +112,19 @@
   );
 });
 
+test("no history in which data centres are evacuated violates a guarantee of the scheduler, and none sends a start there that could know", () => {
+  fc.assert(
+    fc.property(
+      createEvacuationFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: EVACUATION_HISTORIES },
+  );
+});
+
 test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
