Count requests with unknown expectations among those sent ahead

Cause: Node answers them 417 by itself, outside the limit on requests that wait. Change: they are taken as requests without the expectation, as RFC 9110 allows; a test.

--- a/src/http/start_http_server.ts
+++ b/src/http/start_http_server.ts
@@ -47,6 +47,8 @@
     // Requests without a host are refused by the handler, which limits how many wait.
     requireHostHeader: false,
   }, handler.handleRequest);
+  // Such requests would otherwise be answered without the limit on how many wait.
+  server.on("checkExpectation", handler.handleRequest);
   server.on("connection", handler.handleConnection);
   server.on("clientError", (error, socket) => {
     handleClientError(error, socket as Socket, guard);
--- a/test/client_limits/http_server_test.ts
+++ b/test/client_limits/http_server_test.ts
@@ -136,6 +136,17 @@
     release.pop()?.();
   });
 
+  test("requests with an unknown expectation count as others sent ahead", async () => {
+    const request = "GET /a HTTP/1.1\r\nhost: x\r\nexpect: other\r\n\r\n";
+    const single = send(request);
+    await waitFor(() => single.text.endsWith("\na"));
+
+    const client = send(createGet("/wait") + request.repeat(17));
+    await waitFor(() => client.socket.closed);
+    assert.deepEqual(counted, ["queuedRequests"]);
+    release.pop()?.();
+  });
+
   test("requests behind an answer that closes the connection are not run", async () => {
     const client = send(createGet("/last") + createGet("/a").repeat(2));
     await waitFor(() => client.socket.closed);
