--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -1,3 +1,5 @@
+import { createRunPace } from "../placement/create_run_pace.ts";
+import { computeRackFactor } from "./compute_rack_factor.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -29,6 +31,11 @@
   if (task.startConfirmedMs === 0) return;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
   const tookMs = endpoint.clockMs - task.startedClockMs;
+  const { job } = task;
+  const rackFactor = computeRackFactor(state, endpoint, task);
+  task.pace ??= createRunPace(job.predictedMs * endpoint.slowness * rackFactor);
+  task.pace.scale = tookMs / task.pace.expectedMs;
+  task.pace.isReliable = true;
   const step = task.job.order.steps[task.step];
   const expectedMs = Math.max(1, task.job.criticalPathMs, step.estimateMs / 2);
   const ratio = Math.min(
