--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -30,14 +30,15 @@
   }
   if (task.startConfirmedMs === 0) return;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
-  const tookMs = endpoint.clockMs - task.startedClockMs;
+  const elapsedMs = endpoint.clockMs - task.startedClockMs;
+  const tookMs = elapsedMs / computeRackFactor(state, endpoint, task);
   const { job } = task;
-  const rackFactor = computeRackFactor(state, endpoint, task);
-  task.pace ??= createRunPace(job.predictedMs * endpoint.slowness * rackFactor);
-  task.pace.scale = tookMs / task.pace.expectedMs;
-  task.pace.isReliable = true;
-  const step = task.job.order.steps[task.step];
-  const expectedMs = Math.max(1, task.job.criticalPathMs, step.estimateMs / 2);
+  recordFinalPace(task, {
+    tookMs,
+    expectedMs: job.predictedMs * endpoint.slowness,
+  });
+  const step = job.order.steps[task.step];
+  const expectedMs = Math.max(1, job.criticalPathMs, step.estimateMs / 2);
   const ratio = Math.min(
     MAX_RATIO,
     Math.max(1 / MAX_RATIO, tookMs / expectedMs),
@@ -47,7 +48,17 @@
     Math.log(endpoint.slowness) * (1 - weight) + Math.log(ratio) * weight,
   );
   endpoint.slownessSamples += 1;
-  learnRouteMean(state, task.job.order.route, tookMs / endpoint.slowness);
+  learnRouteMean(state, job.order.route, tookMs / endpoint.slowness);
+}
+
+/** Records the actual pace of a run, by which the late runs of its job are judged. */
+function recordFinalPace(
+  task: ScheduledTask,
+  run: { tookMs: number; expectedMs: number },
+): void {
+  task.pace = createRunPace(run.expectedMs);
+  task.pace.scale = run.tookMs / task.pace.expectedMs;
+  task.pace.isReliable = true;
 }
 
 /** Updates a route's mean run time, normalised to an average endpoint, in ms. */
