Receive bodies that arrive at once without the store, and count large answers only

Cause: the limits cost processor time for every request: a promise, a block and a copy for its body, and a holder for its answer. Change: a body that arrives in one piece is handed on as it is; calls instead of promises; answers of up to 16 KB count as part of what a connection may take.

--- a/src/client_limits/create_body_store.ts
+++ b/src/client_limits/create_body_store.ts
@@ -60,7 +60,7 @@
       };
       bodies.add(body);
       return {
-        append: (chunk) => addChunk(body, chunk),
+        add: (chunk) => addChunk(body, chunk),
         finish: () => {
           const bytes = Buffer.concat(body.blocks, body.length);
           dropBody(body);
--- a/src/http/create_connection_handler.ts
+++ b/src/http/create_connection_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { match } from "ts-pattern";
 import type { ClientConnection } from "../client_limits/client_connection.ts";
 import type { ClientGuard } from "../client_limits/client_guard.ts";
 import type { MemoryHolder } from "../client_limits/memory_holder.ts";
@@ -14,6 +15,8 @@
 
 /** Most requests of one connection that wait behind the one that is being answered. */
 const MAX_QUEUED_REQUESTS = 16;
+/** An answer of this size is part of what a connection may take, in bytes. */
+const SMALL_ANSWER_BYTES = 16 * 1_024;
 /** Time after which a client may retry whose body took memory that others needed, in ms. */
 const REFUSED_RETRY_MS = 1_000;
 
@@ -80,31 +83,41 @@
     if (hasNoHost(incoming)) {
       guard.record("malformed");
       outgoing.writeHead(400, { connection: "close" }).end();
-    } else if (hasBody(incoming)) void receiveRequest(connection, request);
+    } else if (hasBody(incoming)) receiveRequest(connection, request);
     else handOver(connection, request);
   }
 
-  async function receiveRequest(
-    connection: Connection,
-    request: Request,
-  ): Promise<void> {
+  function receiveRequest(connection: Connection, request: Request): void {
     const maxBytes = service.readMaxBodyBytes();
-    const body = await receiveBody(request.incoming, {
+    receiveBody(request.incoming, {
       maxBytes,
       bodies: guard.bodies,
       onProgress: () => {
         connection.progressMs = readMonotonicMs();
       },
+      onEnd: (body) => {
+        match(body)
+          .with({ type: "whole" }, ({ bytes }) => {
+            // The adapter reads a body from this property where there is one.
+            Object.assign(request.incoming, { rawBody: bytes });
+            handOver(connection, request);
+          })
+          .with(
+            { type: "tooLarge" },
+            () => refuse(request, { reason: "bodyTooLarge", maxBytes }),
+          )
+          .with({ type: "refused" }, () =>
+            refuse(request, {
+              reason: "unfinishedBodies",
+              retryAfterMs: REFUSED_RETRY_MS,
+            }))
+          .with({ type: "broken" }, () => {})
+          .exhaustive();
+      },
     });
-    if (body.type === "broken") return;
-    if (body.type === "whole") {
-      // The adapter reads a body from this property where there is one.
-      Object.assign(request.incoming, { rawBody: body.bytes });
-      return handOver(connection, request);
-    }
-    const refusal: HttpRefusal = body.type === "tooLarge"
-      ? { reason: "bodyTooLarge", maxBytes }
-      : { reason: "unfinishedBodies", retryAfterMs: REFUSED_RETRY_MS };
+  }
+
+  function refuse(request: Request, refusal: HttpRefusal): void {
     guard.record(refusal.reason);
     answerRefusal(request, refusal, service.formatRefusal(refusal));
   }
@@ -120,7 +133,7 @@
     const { socket } = request.incoming;
     connection.isServed = false;
     const bytes = socket.writableLength;
-    if (bytes === 0) return;
+    if (bytes <= SMALL_ANSWER_BYTES) return;
     const answer: MemoryHolder = {
       bytes,
       sinceMs: readMonotonicMs(),
--- a/src/http/receive_body.ts
+++ b/src/http/receive_body.ts
@@ -3,9 +3,9 @@
 import type { ReceivedBody } from "./received_body.ts";
 
 /**
- * Receives the body of a request. A body above `maxBytes` is not read: by its
- * announced length, or else as soon as more has arrived. `refused` means that
- * its memory was needed for others.
+ * Receives the body of a request and calls `onEnd` once. A body above `maxBytes`
+ * is not read: by its announced length, or else as soon as more has arrived.
+ * `refused` means that its memory was needed for others.
  */
 export function receiveBody(
   incoming: IncomingMessage,
@@ -13,41 +13,47 @@
     maxBytes: number;
     bodies: BodyStore;
     onProgress: () => void;
+    onEnd: (body: ReceivedBody) => void;
   },
-): Promise<ReceivedBody> {
-  const { maxBytes, bodies, onProgress } = options;
-  if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
-    return Promise.resolve({ type: "tooLarge" });
-  }
-  return new Promise((resolve) => {
-    const body = bodies.open(() => finish({ type: "refused" }));
-    let length = 0;
+): void {
+  const { maxBytes, bodies, onProgress, onEnd } = options;
+  const announcedBytes = Number(incoming.headers["content-length"]);
+  if (announcedBytes > maxBytes) return onEnd({ type: "tooLarge" });
+  let body: ReturnType<BodyStore["open"]> | undefined;
+  /** A body that arrives at once, as most do, needs no memory of the store. */
+  let wholeChunk: Buffer | undefined;
+  let length = 0;
 
-    function finish(received: ReceivedBody): void {
-      incoming.off("data", handleChunk);
-      incoming.off("end", handleEnd);
-      incoming.off("close", handleClose);
-      body.drop();
-      resolve(received);
-    }
+  function finish(received: ReceivedBody): void {
+    incoming.off("data", handleChunk);
+    incoming.off("end", handleEnd);
+    incoming.off("close", handleClose);
+    body?.drop();
+    onEnd(received);
+  }
 
-    function handleChunk(chunk: Buffer): void {
-      length += chunk.length;
-      if (length > maxBytes) return finish({ type: "tooLarge" });
-      onProgress();
-      body.append(chunk);
+  function handleChunk(chunk: Buffer): void {
+    length += chunk.length;
+    if (length > maxBytes) return finish({ type: "tooLarge" });
+    if (chunk.length === announcedBytes) {
+      wholeChunk = chunk;
+      return;
     }
+    onProgress();
+    body ??= bodies.open(() => finish({ type: "refused" }));
+    body.add(chunk);
+  }
 
-    function handleEnd(): void {
-      finish({ type: "whole", bytes: body.finish() });
-    }
+  function handleEnd(): void {
+    const bytes = wholeChunk ?? body?.finish() ?? Buffer.alloc(0);
+    finish({ type: "whole", bytes });
+  }
 
-    function handleClose(): void {
-      finish({ type: "broken" });
-    }
+  function handleClose(): void {
+    finish({ type: "broken" });
+  }
 
-    incoming.on("data", handleChunk);
-    incoming.on("end", handleEnd);
-    incoming.on("close", handleClose);
-  });
+  incoming.on("data", handleChunk);
+  incoming.on("end", handleEnd);
+  incoming.on("close", handleClose);
 }
--- a/test/client_limits/guard_test.ts
+++ b/test/client_limits/guard_test.ts
@@ -19,7 +19,7 @@
     const bodies = Array.from({ length: count }, (_, index) => {
       nowMs += 10;
       const body = store.open(() => refused.push(index));
-      body.append(Buffer.alloc(BLOCK_BYTES, index));
+      body.add(Buffer.alloc(BLOCK_BYTES, index));
       return body;
     });
     return { store, bodies, refused };
@@ -34,7 +34,7 @@
 
   test("a refused body takes no more bytes", () => {
     const { store, bodies, refused } = openBodies(3, 2);
-    bodies[0].append(Buffer.alloc(BLOCK_BYTES));
+    bodies[0].add(Buffer.alloc(BLOCK_BYTES));
 
     assert.deepEqual(refused, [0]);
     assert.equal(store.readBytes(), 2 * BLOCK_BYTES);
@@ -44,7 +44,7 @@
     const store = createBodyStore(10 * BLOCK_BYTES, () => nowMs);
     const body = store.open(() => assert.fail("refused"));
     const text = "0123456789".repeat(2_000);
-    for (const character of text) body.append(Buffer.from(character));
+    for (const character of text) body.add(Buffer.from(character));
 
     assert.equal(store.readBytes(), 2 * BLOCK_BYTES);
     assert.equal(body.finish().toString(), text);
@@ -54,7 +54,7 @@
   test("a single body larger than the budget is received", () => {
     const store = createBodyStore(BLOCK_BYTES, () => nowMs);
     const body = store.open(() => assert.fail("refused"));
-    body.append(Buffer.alloc(5 * BLOCK_BYTES, 1));
+    body.add(Buffer.alloc(5 * BLOCK_BYTES, 1));
 
     assert.equal(body.finish().length, 5 * BLOCK_BYTES);
     assert.equal(store.readBytes(), 0);
