Receive no bodies while a VM has no configuration

Cause: a VM without a configuration knows no limit on a body, and a single body may take more than the budget of all.

--- a/src/http/create_connection_handler.ts
+++ b/src/http/create_connection_handler.ts
@@ -23,7 +23,7 @@
 /**
  * Creates the handlers of a server's connections and requests. A connection's
  * requests are taken one at a time, and each is handed to `serve` once its body
- * is whole.
+ * is whole, or at once while no body is received.
  */
 export function createConnectionHandler(
   guard: ClientGuard,
@@ -89,6 +89,7 @@
 
   function receiveRequest(connection: Connection, request: Request): void {
     const maxBytes = service.readMaxBodyBytes();
+    if (maxBytes === undefined) return handOver(connection, request);
     receiveBody(request.incoming, {
       maxBytes,
       bodies: guard.bodies,
--- a/test/client_limits/http_server_test.ts
+++ b/test/client_limits/http_server_test.ts
@@ -25,6 +25,7 @@
   let counted: string[];
   let sockets: { socket: Socket; text: string }[];
   const release: (() => void)[] = [];
+  let maxBodyBytes: number | undefined;
 
   before(async () => {
     guard = createClientGuard({
@@ -51,7 +52,7 @@
     server = await startHttpServer(
       {
         app,
-        readMaxBodyBytes: () => 7_500_000,
+        readMaxBodyBytes: () => maxBodyBytes,
         formatRefusal: ({ reason }) => ({ reason, notRun: true }),
       },
       { address: "127.0.0.1:0", key: "test" },
@@ -59,6 +60,7 @@
     );
   });
   beforeEach(() => {
+    maxBodyBytes = 7_500_000;
     served = [];
     counted = [];
     sockets = [];
@@ -116,6 +118,17 @@
     assert.deepEqual(served, []);
   });
 
+  test("while no body is received, a request with an endless one is answered, and the connection closed", async () => {
+    maxBodyBytes = undefined;
+    const client = send(
+      `PUT / HTTP/1.1\r\nhost: x\r\ncontent-length: 9000000\r\n\r\n${BODY}`,
+    );
+
+    await waitFor(() => client.socket.closed);
+    assert.match(client.text, /^HTTP\/1.1 404/);
+    assert.equal(guard.readGauges().client_body_bytes, 0);
+  });
+
   test("requests sent ahead are taken one after the other, and answered in their order", async () => {
     const client = send(["/wait", "/a", "/b"].map(createGet).join(""));
     await waitFor(() => guard.readGauges().client_queued_requests === 2);
