--- a/src/client_limits/create_body_store.ts
+++ b/src/client_limits/create_body_store.ts
@@ -69,7 +69,6 @@
         drop: () => dropBody(body),
       };
     },
-    maxBytes,
     readBytes: pool.readTakenBytes,
   };
 }
