Look through the ended jobs twice a second, not in each step

Cause: each step of the scheduler, every 20 ms, went through all jobs in memory to end the orphaned ones and to evict the ended ones. Ended jobs stay for 10 s, so under load nearly all of them are ended: at 500 jobs a second some 5,000, fifty times a second.

Change: orphaned jobs are kept in a set of their own, which is looked through in each step, so that they end as promptly as before. Ended jobs, passed jobs and unmatched run ends are looked through every 500 ms, so they stay up to that much longer.

--- a/src/scheduler/advance_scheduler.ts
+++ b/src/scheduler/advance_scheduler.ts
@@ -26,6 +26,8 @@
 
 /** How long a passed job and an unmatched run end stay in memory, in ms. */
 const RETENTION_MS = 10_000;
+/** Interval at which ended jobs are checked for eviction, in ms. */
+const EVICTION_INTERVAL_MS = 500;
 /** Time after which foreign runs are stopped if no VM has resubmitted their jobs, in ms. After a takeover VMs resubmit much sooner. */
 const FOREIGN_RUN_GRACE_MS = 400;
 /** Time after which a solo VM stops foreign runs, in ms: none, because these runs belong to another scheduler, which is still active. */
@@ -43,7 +45,8 @@
   }
   requestCountedStarts(state, nowMs);
   endCrashingJobs(state, nowMs);
-  endAndEvictJobs(state, nowMs);
+  endAbandonedJobs(state, nowMs);
+  evictJobs(state, nowMs);
   stopStragglers(state, nowMs);
   expireLeases(state, nowMs);
   releaseHeldTasks(state, nowMs);
@@ -155,19 +158,28 @@
   }
 }
 
-/** Ends orphaned jobs after their grace period, and evicts ended jobs, passed jobs and unmatched run ends after the retention period. */
-function endAndEvictJobs(state: SchedulerState, nowMs: number): void {
-  for (const job of state.jobs.values()) {
-    if (job.outcome) {
-      if (!canEvictJob(state, job, nowMs)) continue;
-      state.jobs.delete(job.order.id);
-      releaseTasks(state, job);
-    } else if (isAbandoned(state, job, nowMs)) {
+/** Ends orphaned jobs after their grace period. */
+function endAbandonedJobs(state: SchedulerState, nowMs: number): void {
+  for (const job of state.orphans) {
+    if (isAbandoned(state, job, nowMs)) {
       endJob(state, job, {
         outcome: { type: "failed", reason: "abandoned" },
         nowMs,
       });
     }
+    if (job.outcome || job.orphanedMs === undefined) state.orphans.delete(job);
+  }
+}
+
+/** Evicts ended jobs, passed jobs and unmatched run ends after the retention period. */
+function evictJobs(state: SchedulerState, nowMs: number): void {
+  // Under load there are far more ended jobs than open ones.
+  if (nowMs < state.nextEvictionMs) return;
+  state.nextEvictionMs = nowMs + EVICTION_INTERVAL_MS;
+  for (const job of state.jobs.values()) {
+    if (!job.outcome || !canEvictJob(state, job, nowMs)) continue;
+    state.jobs.delete(job.order.id);
+    releaseTasks(state, job);
   }
   evictUnmatchedRunEnds(state, nowMs);
   for (const [id, { passedMs }] of state.passedJobs) {
--- a/src/scheduler/create_scheduler_state.ts
+++ b/src/scheduler/create_scheduler_state.ts
@@ -29,6 +29,8 @@
     startedMs: options.nowMs,
     startedUnixMs: Date.now(),
     jobs: new Map(),
+    orphans: new Set(),
+    nextEvictionMs: 0,
     taskCounts: { stored: 0, unstored: 0 },
     postponedJobs: new Map(),
     waiting: new Set(),
--- a/src/scheduler/drop_vm.ts
+++ b/src/scheduler/drop_vm.ts
@@ -14,6 +14,7 @@
     if (!job.vms.delete(vm) || isWanted(job) || job.outcome) continue;
     job.orphanedMs = lost.nowMs;
     job.orphanCause = lost.how;
+    state.orphans.add(job);
     recordEvent(state, "jobOrphaned", { job: job.order.id, vm, graceMs });
   }
 }
--- a/src/scheduler/scheduler_state.ts
+++ b/src/scheduler/scheduler_state.ts
@@ -24,6 +24,10 @@
   startedUnixMs: number;
   /** Open jobs and, for the retention period, ended ones, by id. */
   jobs: Map<string, ScheduledJob>;
+  /** Jobs whose last VM was lost while a caller waited there; until the next step also some that have ended or have a VM again. */
+  orphans: Set<ScheduledJob>;
+  /** When ended jobs are checked for eviction next, in ms. */
+  nextEvictionMs: number;
   /** Number of tasks in memory, of the stored and of the best-effort jobs. */
   taskCounts: { stored: number; unstored: number };
   /** Stored jobs that are read once there is space for them in memory, by id in the order in which they were stored, with their numbers of tasks. */
