Test the bound for evacuations in the settings

Cause: no test read the new key.

Change: a test that it may be left out, is read, and is refused if negative.

--- a/test/platform/settings_test.ts
+++ b/test/platform/settings_test.ts
@@ -16,6 +16,22 @@
   storeAddress: "127.0.0.1:9000",
 };
 
+describe("the bound for evacuations in the settings", () => {
+  function decode(evacuateMs: number | undefined): NodeSettings["bounds"] {
+    const text = createNodeSettings({ ...BASE_SETTINGS, evacuateMs });
+    return decodeNodeSettings(text, "node.toml").bounds;
+  }
+
+  test("it may be left out, as by deployments that evacuate nothing", () => {
+    assert.equal(decode(undefined).evacuateMs, undefined);
+  });
+
+  test("it is read where it is given, and has to be a number", () => {
+    assert.equal(decode(5_000).evacuateMs, 5_000);
+    assert.throws(() => decode(-1), /bounds\.evacuateMs must be a number/);
+  });
+});
+
 describe("watching the settings file", () => {
   const file = join(mkdtempSync(join(tmpdir(), "chivegrade-settings-")), "n");
   let applied: NodeSettings[];
