Give up a body once it is decoded, and close connections that send chunked bodies ahead

A whole body stayed in memory while its job waited; a chunked body behind a running request was kept by the parser, an object a chunk; a request that could not be parsed was answered in place of the running one. Of evacuations: a job that failed as evacuated stayed failed for a caller who sends it again, and a job whose task was found done by its listed end could be called not run.

Change: the three roles read bodies by one function that gives the bytes up; chunked bodies are not queued; such errors are answered only while nothing runs; the two conditions of evacuated jobs.

The two conditions of evacuated jobs are by reading, without a test of their own.

--- a/src/control/create_operator_app.ts
+++ b/src/control/create_operator_app.ts
@@ -1,5 +1,6 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
+import { readJsonBody } from "../http/read_json_body.ts";
 import { findOperator } from "../auth/find_operator.ts";
 import { isTokenValid } from "../auth/is_token_valid.ts";
 import { computeVersionDigest } from "../config/compute_version_digest.ts";
@@ -49,7 +50,7 @@
   http: Context,
   author: string,
 ): Promise<Response> {
-  const request = patchRequestSchema.safeParse(await readJson(http));
+  const request = patchRequestSchema.safeParse(await readJsonBody(http));
   if (!request.success) {
     const found = request.error.issues
       .map((issue) => `${issue.path.join(".") || "(body)"}: ${issue.message}`);
@@ -69,14 +70,6 @@
   return http.json(outcome, outcome.type === "conflict" ? 409 : 200);
 }
 
-async function readJson(http: Context): Promise<unknown> {
-  try {
-    return await http.req.json();
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Finds the operator whose token a request carries. Before the first version
  * only the bootstrap token is accepted, as operator `bootstrap`.
--- a/src/entry/create_caller_app.ts
+++ b/src/entry/create_caller_app.ts
@@ -1,5 +1,6 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
+import { readJsonBody } from "../http/read_json_body.ts";
 import { isTokenValid } from "../auth/is_token_valid.ts";
 import { findOperator } from "../auth/find_operator.ts";
 import { computeRequestDigest } from "../decide/job/compute_request_digest.ts";
@@ -28,6 +29,11 @@
   const app = new Hono();
   const schema = createSubmissionSchema(context.settings);
 
+  /** Apart from the route, which waits for the answer and would keep the body in memory. */
+  async function readSubmission(http: Context) {
+    return schema.safeParse(await readJsonBody(http));
+  }
+
   app.get("/health", (http) => {
     const ready = isEntryReady(context);
     return http.json({ ready }, ready ? 200 : 503);
@@ -51,7 +57,7 @@
   });
 
   app.post("/v1/jobs", async (http) => {
-    const submission = schema.safeParse(await readJson(http));
+    const submission = await readSubmission(http);
     if (!submission.success) {
       return refuseInput(http, 400, {
         kind: "requestInvalid",
@@ -115,14 +121,6 @@
   };
 }
 
-async function readJson(http: Context): Promise<unknown> {
-  try {
-    return await http.req.json();
-  } catch {
-    return undefined;
-  }
-}
-
 function describeIssues(
   issues: { path: PropertyKey[]; message: string }[],
 ): string {
--- a/src/http/create_connection_handler.ts
+++ b/src/http/create_connection_handler.ts
@@ -56,7 +56,7 @@
     const request = { incoming, outgoing };
     if (!connection.current) return beginRequest(connection, request);
     const isFull = connection.queue.length >= MAX_QUEUED_REQUESTS;
-    if (!isFull && guard.takeQueuePlace()) {
+    if (!isFull && !isChunked(incoming) && guard.takeQueuePlace()) {
       connection.queue.push(request);
       return;
     }
@@ -133,6 +133,7 @@
   function holdAnswer(connection: Connection, request: Request): void {
     const { socket } = request.incoming;
     connection.isServed = false;
+    connection.progressMs = readMonotonicMs();
     const bytes = socket.writableLength;
     if (bytes <= SMALL_ANSWER_BYTES) return;
     const answer: MemoryHolder = {
@@ -149,7 +150,12 @@
     connection.queue = [];
   }
 
-  return { handleConnection, handleRequest };
+  return {
+    handleConnection,
+    handleRequest,
+    /** Whether a request of the connection has been handed on and is not answered yet. */
+    isServed: (socket: Socket) => connections.get(socket)?.isServed ?? false,
+  };
 }
 
 /** Whether a request lacks the host that HTTP/1.1 requires. */
@@ -157,6 +163,11 @@
   return headers.host === undefined && httpVersion === "1.1";
 }
 
+/** Whether the body comes in chunks, of which the parser keeps an object for each until the body is received. */
+function isChunked({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined;
+}
+
 function hasBody({ headers }: IncomingMessage): boolean {
   const length = headers["content-length"];
   return headers["transfer-encoding"] !== undefined ||
--- a/src/http/handle_client_error.ts
+++ b/src/http/handle_client_error.ts
@@ -16,14 +16,19 @@
 export function handleClientError(
   error: NodeJS.ErrnoException,
   socket: Socket,
-  guard: ClientGuard,
+  options: {
+    guard: ClientGuard;
+    /** Whether an earlier request of the connection waits for its answer, which the client would take this one for. */
+    isServed: boolean;
+  },
 ): void {
+  const { guard, isServed } = options;
   const code = error.code ?? "";
   const isParserError = code.startsWith("HPE_") || code in REFUSALS;
   if (isParserError) {
     const [status, reason] = REFUSALS[code] ?? ["400 Bad Request", "malformed"];
     guard.record(reason);
-    if (socket.writable && !hasBegunAnswer(socket)) {
+    if (socket.writable && !isServed && !hasBegunAnswer(socket)) {
       socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     }
   }
--- a/src/http/start_http_server.ts
+++ b/src/http/start_http_server.ts
@@ -51,7 +51,8 @@
   server.on("checkExpectation", handler.handleRequest);
   server.on("connection", handler.handleConnection);
   server.on("clientError", (error, socket) => {
-    handleClientError(error, socket as Socket, guard);
+    const isServed = handler.isServed(socket as Socket);
+    handleClientError(error, socket as Socket, { guard, isServed });
   });
   return new Promise((resolve, reject) => {
     server.on("error", (cause) => reject(createBindError(key, address, cause)));
--- a/src/scheduler/adopt_tasks.ts
+++ b/src/scheduler/adopt_tasks.ts
@@ -32,6 +32,7 @@
     const isDone = applyUnmatchedEnds(state, task);
     if (done.has(task.name) || isDone) {
       changeTaskPhase(state, task, "finish");
+      job.mayHaveStarted = true;
       job.hasKnownStart = true;
       continue;
     }
--- a/src/scheduler/submit_job.ts
+++ b/src/scheduler/submit_job.ts
@@ -101,7 +101,8 @@
   if (outcome?.type === "refused") {
     return !progress?.isResubmitted && outcome.reason !== "cancelled";
   }
-  return outcome?.type === "failed" && outcome.reason === "abandoned" &&
+  return outcome?.type === "failed" &&
+    (outcome.reason === "abandoned" || outcome.reason === "evacuated") &&
     !progress?.wasSolo;
 }
 
--- a/test/client_limits/http_server_test.ts
+++ b/test/client_limits/http_server_test.ts
@@ -149,6 +149,27 @@
     release.pop()?.();
   });
 
+  test("a connection that sends a chunked body ahead is closed", async () => {
+    const chunked = "POST / HTTP/1.1\r\nhost: x\r\n" +
+      "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n";
+    const client = send(createGet("/wait") + chunked);
+    await waitFor(() => client.socket.closed);
+
+    assert.deepEqual(counted, ["queuedRequests"]);
+    release.pop()?.();
+  });
+
+  test("a request that can't be parsed is not answered in place of one that runs", async () => {
+    const client = send(createGet("/wait"));
+    await waitFor(() => release.length === 1);
+    client.socket.write("malformed\r\n\r\n");
+    await waitFor(() => client.socket.closed);
+
+    assert.equal(client.text, "");
+    assert.deepEqual(counted, ["malformed"]);
+    release.pop()?.();
+  });
+
   test("requests with an unknown expectation count as others sent ahead", async () => {
     const request = "GET /a HTTP/1.1\r\nhost: x\r\nexpect: other\r\n\r\n";
     const single = send(request);
