--- a/src/log/log_events.ts
+++ b/src/log/log_events.ts
@@ -68,7 +68,6 @@
     "earlierRun",
   ],
   taskMoved: ["task", "run", "endpoint", "slowness", "progress"],
-  jobLong: ["job", "task", "endpoint", "scale", "objectiveMs"],
   jobOrphaned: ["job", "vm", "graceMs"],
   jobEnded: ["job", "outcome", "reason", "tookMs", "objectiveMs", "open"],
   endStored: ["job", "tookMs"],
--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -38,8 +38,6 @@
   task.stoppedByMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
-  task.pace = undefined;
-  task.hasSlowEndpoint = false;
   task.job.mayHaveStarted = true;
   task.job.hasKnownStart = true;
   addRun(endpoint, task);
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -15,7 +15,6 @@
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
-import { reviewLateRun } from "./review_late_run.ts";
 import { reviewLostRuns } from "./review_lost_runs.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -133,10 +132,6 @@
     recordProgress(state, endpoint, { task, progress, nowMs });
     changeTaskPhase(state, task, "confirm");
   }
-  // Only now, as the other runs of the listing show whether the endpoint is slow.
-  for (const task of endpoint.runs.values()) {
-    reviewLateRun(state, endpoint, { task, nowMs });
-  }
   if (hasHiddenEnds(state, endpoint)) return;
   for (const task of [...endpoint.runs.values()]) {
     const isMissing = task.startConfirmedMs > 0 &&
--- a/src/scheduler/compute_placement_cost.ts
+++ b/src/scheduler/compute_placement_cost.ts
@@ -1,4 +1,3 @@
-import { computeRackFactor } from "./compute_rack_factor.ts";
 import { computeUtilisation } from "./compute_utilisation.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -15,7 +14,9 @@
   endpoint: EndpointRecord,
   task: ScheduledTask,
 ): number {
-  const factor = computeRackFactor(state, endpoint, task);
+  const { rack } = task.job.order.steps[task.step];
+  const isRemote = rack !== undefined && !endpoint.row.labels.includes(rack);
+  const factor = isRemote ? state.limits.remoteFactor : 1;
   const failures =
     task.failedEndpointIds.filter((id) => id === endpoint.row.id).length;
   const utilisation = computeUtilisation(endpoint);
--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -6,8 +6,9 @@
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
-import { USELESS_FACTOR } from "./useless_factor.ts";
 
+/** An answer is useless to the caller after this many times the latency objective. */
+const USELESS_FACTOR = 3;
 /** Weight of the latest job in a service's mean CPU need of a task. */
 const TASK_CPU_WEIGHT = 0.05;
 
@@ -32,7 +33,6 @@
     waitingTaskCount: 0,
     openTaskCount: 0,
     arrivedMs,
-    predictedMs: criticalPathMs,
     criticalPathMs,
     objectiveMs: arrivedMs + allowedMs,
     uselessAfterMs: arrivedMs + USELESS_FACTOR * allowedMs,
@@ -89,6 +89,5 @@
     progress: 0,
     expectedEndMs: 0,
     moveCount: 0,
-    hasSlowEndpoint: false,
   };
 }
--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -1,5 +1,3 @@
-import { createRunPace } from "../placement/create_run_pace.ts";
-import { computeRackFactor } from "./compute_rack_factor.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
@@ -30,15 +28,9 @@
   }
   if (task.startConfirmedMs === 0) return;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
-  const elapsedMs = endpoint.clockMs - task.startedClockMs;
-  const tookMs = elapsedMs / computeRackFactor(state, endpoint, task);
-  const { job } = task;
-  recordFinalPace(task, {
-    tookMs,
-    expectedMs: job.predictedMs * endpoint.slowness,
-  });
-  const step = job.order.steps[task.step];
-  const expectedMs = Math.max(1, job.criticalPathMs, step.estimateMs / 2);
+  const tookMs = endpoint.clockMs - task.startedClockMs;
+  const step = task.job.order.steps[task.step];
+  const expectedMs = Math.max(1, task.job.criticalPathMs, step.estimateMs / 2);
   const ratio = Math.min(
     MAX_RATIO,
     Math.max(1 / MAX_RATIO, tookMs / expectedMs),
@@ -48,17 +40,7 @@
     Math.log(endpoint.slowness) * (1 - weight) + Math.log(ratio) * weight,
   );
   endpoint.slownessSamples += 1;
-  learnRouteMean(state, job.order.route, tookMs / endpoint.slowness);
-}
-
-/** Records the actual pace of a run, by which the late runs of its job are judged. */
-function recordFinalPace(
-  task: ScheduledTask,
-  run: { tookMs: number; expectedMs: number },
-): void {
-  task.pace = createRunPace(run.expectedMs);
-  task.pace.scale = run.tookMs / task.pace.expectedMs;
-  task.pace.isReliable = true;
+  learnRouteMean(state, task.job.order.route, tookMs / endpoint.slowness);
 }
 
 /** Updates a route's mean run time, normalised to an average endpoint, in ms. */
--- a/src/scheduler/record_progress.ts
+++ b/src/scheduler/record_progress.ts
@@ -1,29 +1,52 @@
 import { predictRunEndMs } from "../decide/predict_run_end_ms.ts";
-import { createRunPace } from "../placement/create_run_pace.ts";
-import { updateRunPace } from "../placement/update_run_pace.ts";
-import { computeRackFactor } from "./compute_rack_factor.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
-/** Records a run's progress and its pace, and predicts its end from it. */
+/** A run that is predicted to take this many times longer than expected shows that its endpoint is slow now. */
+const SLOW_RUN_RATIO = 3;
+/** Weight of a slow run in the endpoint's slowness; high, because a healthy endpoint hardly ever has a slow run. */
+const SLOW_RUN_WEIGHT = 0.6;
+
+/**
+ * Records a run's progress and predicts its end from it. Raises the slowness of
+ * the endpoint when the run is first found to be slow.
+ */
 export function recordProgress(
   state: SchedulerState,
   endpoint: EndpointRecord,
   run: { task: ScheduledTask; progress: number; nowMs: number },
 ): void {
   const { task, progress, nowMs } = run;
-  const { job } = task;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
   const elapsedMs = Math.max(0, endpoint.clockMs - task.startedClockMs);
-  const slowness = endpoint.slowness * computeRackFactor(state, endpoint, task);
+  const startedMs = nowMs - elapsedMs;
+  const previousEndMs = task.expectedEndMs;
+  const expectedMs = task.job.criticalPathMs * endpoint.slowness;
   task.progress = progress;
   task.expectedEndMs = predictRunEndMs({
     progress,
     elapsedMs,
-    expectedMs: job.criticalPathMs * slowness,
+    expectedMs,
     nowMs,
   });
-  task.pace ??= createRunPace(job.predictedMs * slowness);
-  updateRunPace(task.pace, { progress, elapsedMs });
+  const totalMs = task.expectedEndMs - startedMs;
+  const isSlow = totalMs > SLOW_RUN_RATIO * expectedMs;
+  if (
+    !isSlow ||
+    previousEndMs > startedMs + SLOW_RUN_RATIO * expectedMs
+  ) return;
+  const ratio = totalMs / task.job.criticalPathMs;
+  endpoint.slowness = Math.exp(
+    Math.log(endpoint.slowness) * (1 - SLOW_RUN_WEIGHT) +
+      Math.log(ratio) * SLOW_RUN_WEIGHT,
+  );
+  recordEvent(state, "endpointSlow", {
+    endpoint: endpoint.row.id,
+    task: task.name,
+    progress,
+    elapsedMs: Math.round(elapsedMs),
+    slowness: Math.round(endpoint.slowness * 100) / 100,
+  });
 }
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -17,9 +17,7 @@
   openTaskCount: number;
   /** When the caller's request arrived, by the scheduler's clock, in ms. */
   arrivedMs: number;
-  /** Run time of the critical path of the steps on an average endpoint as predicted when the job arrived, in ms. */
-  predictedMs: number;
-  /** The same as expected now: longer than `predictedMs` if a task was found to be long. */
+  /** Expected run time of the critical path of the steps on an average endpoint, in ms. */
   criticalPathMs: number;
   /** Until when the answer meets the latency objective, in ms; an estimate, as it is based on `criticalPathMs`. */
   objectiveMs: number;
--- a/src/scheduler/scheduled_task.ts
+++ b/src/scheduler/scheduled_task.ts
@@ -1,5 +1,4 @@
 import type { LostRun } from "./lost_run.ts";
-import type { RunPace } from "../placement/run_pace.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 import type { TaskPhase } from "./task_phase.ts";
 
@@ -46,8 +45,4 @@
   expectedEndMs: number;
   /** Number of runs that were stopped because the task would end sooner at another endpoint. */
   moveCount: number;
-  /** Pace of the latest run; absent before its first listing. */
-  pace?: RunPace;
-  /** Whether the latest run has shown that its endpoint is slow. */
-  hasSlowEndpoint: boolean;
 };
--- a/src/scheduler/start_task.ts
+++ b/src/scheduler/start_task.ts
@@ -25,8 +25,6 @@
   task.stoppedByMs = 0;
   task.progress = 0;
   task.expectedEndMs = 0;
-  task.pace = undefined;
-  task.hasSlowEndpoint = false;
   job.mayHaveStarted = true;
   addRun(endpoint, task);
   // The scheduler may end before it learns whether the start crashes the endpoint.
--- a/src/scheduler/stop_stragglers.ts
+++ b/src/scheduler/stop_stragglers.ts
@@ -1,9 +1,6 @@
 import { isWorthMoving } from "../decide/is_worth_moving.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
-import { computeRackFactor } from "./compute_rack_factor.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
-import { findLateRunCause } from "./find_late_run_cause.ts";
-import { learnJobLength } from "./learn_job_length.ts";
 import { hasLostRuns } from "./has_lost_runs.ts";
 import { isWanted } from "./is_wanted.ts";
 import { recordEvent } from "./record_event.ts";
@@ -17,19 +14,16 @@
 export function stopStragglers(state: SchedulerState, nowMs: number): void {
   for (const endpoint of state.endpoints.values()) {
     for (const task of endpoint.runs.values()) {
-      if (isStraggler(state, endpoint, { task, nowMs })) {
-        stopRun(state, endpoint, task);
-      }
+      if (isStraggler(state, task, nowMs)) stopRun(state, endpoint, task);
     }
   }
 }
 
 function isStraggler(
   state: SchedulerState,
-  endpoint: EndpointRecord,
-  run: { task: ScheduledTask; nowMs: number },
+  task: ScheduledTask,
+  nowMs: number,
 ): boolean {
-  const { task, nowMs } = run;
   const { job } = task;
   if (task.phase !== "running" || job.outcome || !isWanted(job)) {
     return false;
@@ -38,16 +32,11 @@
   if (hasLostRuns(task)) return false;
   if (task.stoppedByMs > 0 || task.moveCount >= MAX_MOVES) return false;
   if (task.expectedEndMs <= job.objectiveMs) return false;
-  const cause = findLateRunCause(endpoint, { task, nowMs });
-  if (cause === "longTask") learnJobLength(state, task);
-  if (cause === "longTask" || cause === "unknown") return false;
   const other = chooseEndpoint(state, task, nowMs);
   if (!other || other.row.id === task.endpointId) return false;
-  const newRunMs = job.criticalPathMs * other.slowness *
-    computeRackFactor(state, other, task);
   return isWorthMoving({
     remainingMs: task.expectedEndMs - nowMs,
-    newRunMs,
+    newRunMs: job.criticalPathMs * other.slowness,
     stopMs: state.limits.stopMs,
   });
 }
