--- a/test/evacuation/passing_test.ts
+++ b/test/evacuation/passing_test.ts
@@ -74,6 +74,18 @@
     });
   });
 
+  test("a job that failed for it is open again when its caller sends it again", () => {
+    const driver = createEvacuatedDriver({ hasOtherGroups: true });
+    driver.submit({ id: "j1", steps: [createStep(6)] });
+    driver.evacuate(["a", "b"]);
+    driver.advanceTo(20);
+    assert.equal(driver.outcomes.get("j1")?.type, "failed");
+    driver.evacuate([]);
+    driver.submit({ id: "j1", steps: [createStep(6)] });
+
+    assert.equal(driver.state.jobs.get("j1")?.outcome, undefined);
+  });
+
   test("the group reports no capacity, so that no other passes jobs to it", () => {
     const driver = createEvacuatedDriver();
     driver.submit({ id: "j1" });
