Show that jobs without an estimate take endpoints out of use

Cause: the expected run time of such a job is 0 and the ratio of its run time to that is infinite, which becomes the endpoint's slowness for good.

Change: review/11 with a script; the cases that were 11 to 13 move.

--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,82 +1,99 @@
 import { runCase } from "../lib3/run_case.mjs";
 
-/** Jobs of one task that clients hand in each second; about nine tenths of the capacity. */
-const JOBS_PER_S = 20;
+/** Jobs of the first burst, two for each of the eight minions. */
+const FIRST_JOBS = 16;
+/** Jobs that clients hand in afterwards, with an estimate. */
+const LATER_JOBS = 40;
+const LATER_PER_S = 10;
 const WORK_MS = 900;
 const CPU = 6_800;
-/** Traffic before the disruption and after it, in ms. */
-const BEFORE_MS = 2_500;
-const AFTER_MS = 1_000;
-/** The disruption as in the site file: `share = 0.1, gap_s = 1.4, for_s = 6.5`. */
-const FLAP = { gapMs: 1_400, forMs: 6_500 };
-/** How long clients ask for the states after the end of the traffic, in ms. */
-const ASK_MS = 40_000;
+/** The rule: from `finish_s` after the traffic on, nothing runs for this long. */
+const IDLE_MS = 3_000;
+const SAMPLE_MS = 100;
+/** How long after `finish_s` the minions are watched, in ms. */
+const WATCH_MS = 10_000;
 
-const options = { seed: 1, machines: 10 };
-await runCase(import.meta.url, options, async (world, hasTrouble) => {
-  const { wait, jobs } = world;
+await runCase(import.meta.url, { seed: 1 }, async (world, hasTrouble) => {
+  const { wait, jobs, bounds, machines } = world;
   const ids = [];
-  const answers = [];
-  let isOpen = true;
-  async function handIn() {
-    while (isOpen) {
-      const id = world.createId();
-      ids.push(id);
-      answers.push(world.submit(id, {
-        spec: "spread",
-        steps: [{ count: 1, cpu: CPU, memMb: 64, estimateMs: WORK_MS }],
-        workMs: () => WORK_MS,
-      }));
-      await wait(1_000 / JOBS_PER_S);
-    }
+  function handIn(estimateMs) {
+    const id = world.createId();
+    ids.push(id);
+    const step = { count: 1, cpu: CPU, memMb: 64 };
+    // A field whose value is 0 is left out.
+    if (estimateMs > 0) step.estimateMs = estimateMs;
+    return world.submit(id, {
+      spec: "proof",
+      steps: [step],
+      workMs: () => WORK_MS,
+    });
   }
-  const clients = handIn();
-  await wait(BEFORE_MS);
-  // One of ten minions goes down and up by turns.
-  const [machine] = world.machines;
-  const untilMs = performance.now() + FLAP.forMs;
-  while (performance.now() < untilMs) {
-    if (hasTrouble) machine.crash();
-    await wait(FLAP.gapMs / 2);
-    if (hasTrouble) await machine.start();
-    await wait(FLAP.gapMs / 2);
+  const first = Array.from(
+    { length: FIRST_JOBS },
+    () => handIn(hasTrouble ? 0 : WORK_MS),
+  );
+  await Promise.all(first);
+  await wait(3_000);
+  const later = [];
+  for (let count = 0; count < LATER_JOBS; count += 1) {
+    later.push(handIn(WORK_MS));
+    await wait(1_000 / LATER_PER_S);
   }
-  await wait(AFTER_MS);
-  isOpen = false;
-  await clients;
-  await Promise.all(answers);
-  const states = new Map();
-  const askUntilMs = performance.now() + ASK_MS;
-  while (performance.now() < askUntilMs) {
-    let open = 0;
+  await Promise.all(later);
+  await wait(bounds.finish_s * 1_000);
+  const idleSinceMs = new Map();
+  const longestMs = new Map();
+  let mostUsed = 0;
+  const untilMs = performance.now() + WATCH_MS;
+  while (performance.now() < untilMs) {
+    const nowMs = performance.now();
+    const names = machines.flatMap(({ life }) => life.listRuns());
+    const running = new Set(names.map((name) => name.split(".")[0]));
+    const total = machines.reduce((sum, { cpu }) => sum + cpu, 0);
+    const used = names.length * CPU;
+    mostUsed = Math.max(mostUsed, used / total);
+    const hasRoom = used < total / 2 &&
+      machines.some(({ life, cpu }) => cpu >= (life.countRuns() + 2) * CPU);
+    const done = new Set(
+      world.listStarts().filter(({ how }) => how === "done")
+        .map(({ name }) => name.split(".")[0]),
+    );
     for (const id of ids) {
-      const state = states.get(id);
-      if (state === "completed" || state === "failed") continue;
-      if (!jobs.get(id).acceptedMs) continue;
-      const answer = await world.askState(id);
-      states.set(id, answer.body?.state ?? answer.status);
-      if (states.get(id) !== "completed") open += 1;
+      const isIdle = jobs.get(id).acceptedMs && !done.has(id) &&
+        !running.has(id) && hasRoom;
+      if (!isIdle) {
+        idleSinceMs.delete(id);
+        continue;
+      }
+      if (!idleSinceMs.has(id)) idleSinceMs.set(id, nowMs);
+      const idleMs = nowMs - idleSinceMs.get(id);
+      longestMs.set(id, Math.max(longestMs.get(id) ?? 0, idleMs));
     }
-    if (open === 0) break;
-    await wait(500);
+    await wait(SAMPLE_MS);
+  }
+  const states = {};
+  const answers = {};
+  for (const id of ids) {
+    const { acceptedMs, attempts } = jobs.get(id);
+    const last = attempts.at(-1).status;
+    answers[last] = (answers[last] ?? 0) + 1;
+    if (!acceptedMs) continue;
+    const answer = await world.askState(id);
+    const state = answer.body?.state ?? answer.status;
+    states[state] = (states[state] ?? 0) + 1;
   }
-  const starts = world.listStarts();
-  const broken = ids.filter((id) => states.get(id) === "failed").map((id) => {
-    const runs = starts.filter(({ name }) => name.startsWith(id))
-      .map(({ minion, how }) => `${minion} ${how}`);
-    return `LOST: ${id} is shown as failed; its runs: ${runs.join(", ")}`;
-  });
-  const count = (state) =>
-    [...states.values()].filter((one) => one === state).length;
+  const broken = ids.filter((id) => (longestMs.get(id) ?? 0) > IDLE_MS)
+    .map((id) =>
+      `LOST: later than ${bounds.finish_s} s after the traffic ${id} has nothing running for ${
+        Math.round(longestMs.get(id))
+      } ms`
+    );
   return {
     broken,
     notes: [
-      `jobs accepted: ${states.size}, completed: ${
-        count("completed")
-      }, failed: ${count("failed")}`,
-      `ends 'failed' on all minions: ${
-        starts.filter(({ how }) => how === "failed").length
-      }`,
+      `answers to POST: ${JSON.stringify(answers)}`,
+      `states of accepted jobs at the end: ${JSON.stringify(states)}`,
+      `largest share of the capacity in use meanwhile: ${mostUsed.toFixed(3)}`,
     ],
   };
 });
--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,94 +1,82 @@
 import { runCase } from "../lib3/run_case.mjs";
 
-/** Stored jobs of one small task, handed in at once. */
-const JOBS = 100;
-const WORK_MS = 2_500;
-const CPU = 130;
-/** How long the crashed minion is down, in ms. */
-const DOWN_MS = 4_500;
-/** The rule: from `finish_s` after the traffic on, nothing runs for this long. */
-const IDLE_MS = 3_000;
-const SAMPLE_MS = 100;
-/** How long after `finish_s` the minions are watched, in ms. */
-const WATCH_MS = 8_000;
+/** Jobs of one task that clients hand in each second; about nine tenths of the capacity. */
+const JOBS_PER_S = 20;
+const WORK_MS = 900;
+const CPU = 6_800;
+/** Traffic before the disruption and after it, in ms. */
+const BEFORE_MS = 2_500;
+const AFTER_MS = 1_000;
+/** The disruption as in the site file: `share = 0.1, gap_s = 1.4, for_s = 6.5`. */
+const FLAP = { gapMs: 1_400, forMs: 6_500 };
+/** How long clients ask for the states after the end of the traffic, in ms. */
+const ASK_MS = 40_000;
 
-await runCase(import.meta.url, { seed: 1 }, async (world, hasTrouble) => {
-  const { wait, jobs, bounds, machines } = world;
-  const ids = Array.from({ length: JOBS }, () => world.createId());
-  await Promise.all(ids.map((id) =>
-    world.submit(id, {
-      spec: "check",
-      steps: [{ count: 1, cpu: CPU, memMb: 64, estimateMs: WORK_MS }],
-      workMs: () => WORK_MS,
-    })
-  ));
-  const trafficEndMs = performance.now();
-  await wait(600);
-  if (hasTrouble) {
-    // One of eight minions crashes: the one that runs the most.
-    const [machine] = [...machines].sort((one, other) =>
-      other.life.countRuns() - one.life.countRuns()
-    );
-    machine.crash();
-    wait(DOWN_MS).then(() => machine.start());
+const options = { seed: 1, machines: 10 };
+await runCase(import.meta.url, options, async (world, hasTrouble) => {
+  const { wait, jobs } = world;
+  const ids = [];
+  const answers = [];
+  let isOpen = true;
+  async function handIn() {
+    while (isOpen) {
+      const id = world.createId();
+      ids.push(id);
+      answers.push(world.submit(id, {
+        spec: "spread",
+        steps: [{ count: 1, cpu: CPU, memMb: 64, estimateMs: WORK_MS }],
+        workMs: () => WORK_MS,
+      }));
+      await wait(1_000 / JOBS_PER_S);
+    }
   }
-  await wait(trafficEndMs + bounds.finish_s * 1_000 - performance.now());
-  /** Since when each open job has had nothing running while there was room, in ms. */
-  const idleSinceMs = new Map();
-  const longestMs = new Map();
-  let mostUsed = 0;
-  const untilMs = performance.now() + WATCH_MS;
+  const clients = handIn();
+  await wait(BEFORE_MS);
+  // One of ten minions goes down and up by turns.
+  const [machine] = world.machines;
+  const untilMs = performance.now() + FLAP.forMs;
   while (performance.now() < untilMs) {
-    const nowMs = performance.now();
-    const running = new Set();
-    let used = 0;
-    let total = 0;
-    let roomiest = 0;
-    for (const { life, cpu } of machines) {
-      if (!life.isUp) continue;
-      const names = life.listRuns();
-      for (const name of names) running.add(name.split(".")[0]);
-      used += names.length * CPU;
-      total += cpu;
-      roomiest = Math.max(roomiest, cpu - names.length * CPU);
-    }
-    mostUsed = Math.max(mostUsed, used / total);
-    const hasRoom = used < total / 2 && roomiest >= 2 * CPU;
-    const done = new Set(
-      world.listStarts().filter(({ how }) => how === "done")
-        .map(({ name }) => name.split(".")[0]),
-    );
+    if (hasTrouble) machine.crash();
+    await wait(FLAP.gapMs / 2);
+    if (hasTrouble) await machine.start();
+    await wait(FLAP.gapMs / 2);
+  }
+  await wait(AFTER_MS);
+  isOpen = false;
+  await clients;
+  await Promise.all(answers);
+  const states = new Map();
+  const askUntilMs = performance.now() + ASK_MS;
+  while (performance.now() < askUntilMs) {
+    let open = 0;
     for (const id of ids) {
-      const isIdle = jobs.get(id).acceptedMs && !done.has(id) &&
-        !running.has(id) && hasRoom;
-      if (!isIdle) {
-        idleSinceMs.delete(id);
-        continue;
-      }
-      if (!idleSinceMs.has(id)) idleSinceMs.set(id, nowMs);
-      const idleMs = nowMs - idleSinceMs.get(id);
-      longestMs.set(id, Math.max(longestMs.get(id) ?? 0, idleMs));
+      const state = states.get(id);
+      if (state === "completed" || state === "failed") continue;
+      if (!jobs.get(id).acceptedMs) continue;
+      const answer = await world.askState(id);
+      states.set(id, answer.body?.state ?? answer.status);
+      if (states.get(id) !== "completed") open += 1;
     }
-    await wait(SAMPLE_MS);
-  }
-  const states = {};
-  for (const id of ids) {
-    const answer = await world.askState(id);
-    const state = answer.body?.state ?? answer.status;
-    states[state] = (states[state] ?? 0) + 1;
+    if (open === 0) break;
+    await wait(500);
   }
-  const broken = ids.filter((id) => (longestMs.get(id) ?? 0) > IDLE_MS)
-    .map((id) =>
-      `LOST: later than ${bounds.finish_s} s after the traffic ${id} has nothing running for ${
-        Math.round(longestMs.get(id))
-      } ms`
-    );
+  const starts = world.listStarts();
+  const broken = ids.filter((id) => states.get(id) === "failed").map((id) => {
+    const runs = starts.filter(({ name }) => name.startsWith(id))
+      .map(({ minion, how }) => `${minion} ${how}`);
+    return `LOST: ${id} is shown as failed; its runs: ${runs.join(", ")}`;
+  });
+  const count = (state) =>
+    [...states.values()].filter((one) => one === state).length;
   return {
     broken,
     notes: [
-      `jobs with nothing running for over ${IDLE_MS} ms: ${broken.length}`,
-      `largest share of the capacity in use meanwhile: ${mostUsed.toFixed(3)}`,
-      `states at the end: ${JSON.stringify(states)}`,
+      `jobs accepted: ${states.size}, completed: ${
+        count("completed")
+      }, failed: ${count("failed")}`,
+      `ends 'failed' on all minions: ${
+        starts.filter(({ how }) => how === "failed").length
+      }`,
     ],
   };
 });
--- a/review/lib3/daemon.mjs
+++ b/review/lib3/daemon.mjs
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { startLink } from "./link.mjs";
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "../..");
 
@@ -94,6 +95,7 @@
   for (let index = 0; index < count; index += 1) {
     const [front, ready, peer, metrics] = await findPorts(4, used);
     const door = await store.openDoor();
+    const link = await startLink(door.address);
     const daemon = {
       name: `edge-${index + 1}`,
       zone: zones[index % zones.length],
@@ -101,6 +103,7 @@
       ready,
       metrics,
       door,
+      link,
       logs: [],
       child: undefined,
       /** Ends that the test did not bring about. */
@@ -118,7 +121,7 @@
           zone: daemon.zone,
           zones,
           ports: { front, ready, peer },
-          storeAddress: door.address,
+          storeAddress: link.address,
           bounds,
           seeds: [],
           bootstrap,
@@ -179,6 +182,7 @@
       for (const daemon of daemons) {
         daemon.isExpectedToEnd = true;
         daemon.child?.kill("SIGKILL");
+        daemon.link.stop();
       }
       rmSync(folder, { recursive: true, force: true });
     },
--- a/review/lib3/world.mjs
+++ b/review/lib3/world.mjs
@@ -61,6 +61,8 @@
 export async function startWorld(options) {
   const {
     daemons: count = 4,
+    /** Daemons that are there, but not started. */
+    spares = 0,
     machines: machineCount = 8,
     cpu = 16_000,
     maxAttempts = 3,
@@ -121,13 +123,13 @@
   for (const machine of machines) await machine.start();
   store.put("op", "config", createConfiguration(1, { maxAttempts }));
   const { daemons, stop: stopDaemons } = await createDaemons({
-    count,
+    count: count + spares,
     zones: ZONES,
     store,
     bounds,
     record,
   });
-  for (const daemon of daemons) daemon.start();
+  for (const daemon of daemons.slice(0, count)) daemon.start();
   const agent = new Agent({ keepAlive: true });
 
   function send(daemon, { method, path, body, deadlineMs = 1_500 }) {
@@ -209,7 +211,8 @@
   }
 
   function pickDaemon() {
-    return daemons[Math.floor(random() * daemons.length)];
+    const up = daemons.filter(({ child }) => child);
+    return up[Math.floor(random() * up.length)];
   }
 
   async function get(daemon, id) {
@@ -247,9 +250,9 @@
     return answer;
   }
 
-  async function countPending(daemon) {
-    const answer = await send(daemon, { method: "GET", path: PREFIX });
-    record("GET pending", { daemon: daemon.name, ...answer });
+  async function countPending(daemon, name = "lohu930") {
+    const answer = await send(daemon, { method: "GET", path: `/${name}/` });
+    record("GET pending", { daemon: daemon.name, name, ...answer });
     return answer;
   }
 
@@ -295,7 +298,7 @@
     waitUntilReady: async () => {
       for (let attempt = 0; attempt < 200; attempt += 1) {
         const states = await Promise.all(
-          daemons.map((daemon) => daemon.isReady()),
+          daemons.slice(0, count).map((daemon) => daemon.isReady()),
         );
         if (states.every(Boolean)) {
           await wait(4_000);
@@ -319,20 +322,20 @@
   };
 }
 
-function createConfiguration(version, { maxAttempts }) {
+function createConfiguration(version, { maxAttempts, names = [] }) {
   return {
     version,
-    routes: [{
-      name: "lohu930",
+    routes: ["lohu930", ...names].map((name) => ({
+      name,
       host: HOST,
-      pathPrefix: PREFIX,
+      pathPrefix: `/${name}/`,
       service: SERVICE,
       timeoutMs: 5_000,
       latencySloMs: 60,
       priority: 1,
       maxAttempts,
       stretch: 1.6,
-    }],
+    })),
     services: [{ name: SERVICE, enforcesCapacity: true }],
     limits: { maxBodyBytes: 262_144 },
   };
