--- a/review/lib3/world.mjs
+++ b/review/lib3/world.mjs
@@ -212,7 +212,8 @@
 
   function pickDaemon() {
     const up = daemons.filter(({ child }) => child);
-    return up[Math.floor(random() * up.length)];
+    const some = up.length > 0 ? up : daemons;
+    return some[Math.floor(random() * some.length)];
   }
 
   async function get(daemon, id) {
