--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,5 +1,8 @@
 import { runCase } from "../lib3/run_case.mjs";
 
+/** With TROUBLE=0 the disruption is left out. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
 /** Jobs of the first burst, two for each of the eight minions. */
 const FIRST_JOBS = 16;
 /** Jobs that clients hand in afterwards, with an estimate. */
@@ -13,7 +16,7 @@
 /** How long after `finish_s` the minions are watched, in ms. */
 const WATCH_MS = 10_000;
 
-await runCase(import.meta.url, { seed: 1 }, async (world, hasTrouble) => {
+await runCase(import.meta.url, { hasTrouble, seed: 1 }, async (world) => {
   const { wait, jobs, bounds, machines } = world;
   const ids = [];
   function handIn(estimateMs) {
--- a/review/lib3/daemon.mjs
+++ b/review/lib3/daemon.mjs
@@ -6,6 +6,14 @@
 import { fileURLToPath } from "node:url";
 import { startLink } from "./link.mjs";
 
+/** Limits of the small deployment's machines. */
+const SMALL_LIMITS = {
+  cpuShare: 0.675,
+  memoryMb: 350,
+  maxFds: 4_100,
+  linkMbps: 1_000,
+};
+
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "../..");
 
 /** Reads the command of the deploy file, split at spaces. */
@@ -35,7 +43,7 @@
 
 /** Formats the settings file of a daemon in the platform's format. */
 function formatSettings(at) {
-  const { name, zone, zones, ports, storeAddress, bounds, seeds } = at;
+  const { name, zone, zones, ports, storeAddress, bounds, seeds, limits } = at;
   const lines = [
     `nodeName = "${name}"`,
     `role = "dispatcher"`,
@@ -59,11 +67,11 @@
     `front = "127.0.0.1:${ports.front}"`,
     `ready = "127.0.0.1:${ports.ready}"`,
     "[limits]",
-    "cpuShare = 0.675",
+    `cpuShare = ${limits.cpuShare}`,
     "cores = 1",
-    "memoryMb = 350",
-    "maxFds = 4100",
-    "linkMbps = 1000.0",
+    `memoryMb = ${limits.memoryMb}`,
+    `maxFds = ${limits.maxFds}`,
+    `linkMbps = ${limits.linkMbps}`,
     "diskMb = 0",
     "[faultTolerance]",
     "machines = 2",
@@ -87,7 +95,8 @@
 }
 
 /** Creates the daemons of a deployment; each is a process with the command of the deploy file. */
-export async function createDaemons({ count, zones, store, bounds, record }) {
+export async function createDaemons(options) {
+  const { count, zones, store, bounds, record } = options;
   const used = new Set();
   const folder = mkdtempSync(join(tmpdir(), "chivegrade-review-"));
   const command = readCommand();
@@ -96,6 +105,8 @@
     const [front, ready, peer, metrics] = await findPorts(4, used);
     const door = await store.openDoor();
     const link = await startLink(door.address);
+    const given = options.limits?.[index];
+    if (given) link.mbps = given.linkMbps;
     const daemon = {
       name: `edge-${index + 1}`,
       zone: zones[index % zones.length],
@@ -124,6 +135,7 @@
           storeAddress: link.address,
           bounds,
           seeds: [],
+          limits: given ?? SMALL_LIMITS,
           bootstrap,
         }),
       );
--- a/review/lib3/minion.mjs
+++ b/review/lib3/minion.mjs
@@ -1,5 +1,8 @@
 import { startJsonServer, wait } from "./store.mjs";
 
+/** Answer of an unhealthy minion to an order, for `intercept`: it has done nothing. */
+export const SHED = "shed";
+
 /** Most ends in one listing. */
 const MAX_LISTED_ENDS = 500;
 
@@ -179,7 +182,9 @@
       const reply = machine.intercept
         ? await machine.intercept(kind, body, () => perform(kind, body))
         : await perform(kind, body);
-      return life.isDark ? "silent" : reply;
+      if (life.isDark) return "silent";
+      // Every answer with a body has the minion's clock.
+      return reply === SHED ? { status: 503, body: describe() } : reply;
     }, port);
     life.port = Number(server.address.split(":")[1]);
 
@@ -208,6 +213,7 @@
     Object.assign(life, {
       countRuns: () => running.size,
       listRuns: () => [...running.keys()],
+      resetAll: server.resetAll,
       stop: () => {
         life.isUp = false;
         clearInterval(beat);
@@ -243,6 +249,16 @@
         3 * bounds.heartbeatMs,
       ).unref();
     },
+    /** Cuts the minion off with resets: open connections and new ones. It runs on. */
+    cut: () => {
+      record("cut", { minion: machine.life.id });
+      machine.intercept = () => "reset";
+      machine.life.resetAll();
+    },
+    endCut: () => {
+      machine.intercept = undefined;
+      record("cut over", { minion: machine.life.id });
+    },
     drain: () => {
       const { life } = machine;
       life.state = "draining";
--- a/review/lib3/run_case.mjs
+++ b/review/lib3/run_case.mjs
@@ -6,12 +6,11 @@
 
 /**
  * Runs a case and ends the process: with 1 if `play` returns broken rules, 0
- * if it returns none, 2 if the case could not run. `TROUBLE=0` leaves out the
- * disruption. The record is written beside the case.
+ * if it returns none, 2 if the case could not run. The record is written beside
+ * the case. `hasTrouble` says whether the disruption is part of the run.
  */
-export async function runCase(caseUrl, options, play) {
+export async function runCase(caseUrl, { hasTrouble, ...options }, play) {
   const file = fileURLToPath(new URL("record.txt", caseUrl));
-  const hasTrouble = process.env.TROUBLE !== "0";
   const world = await startWorld(options);
   let status = 2;
   let verdict = ["could not run"];
@@ -26,9 +25,9 @@
   process.on("SIGINT", finish);
   try {
     if (!await world.waitUntilReady()) throw new Error("daemons not ready");
-    const { broken, notes = [] } = await play(world, hasTrouble);
+    const { broken, notes = [] } = await play(world);
     for (const { name, ownEnds } of world.daemons) {
-      if (ownEnds > 0) broken.push(`daemon ${name} ended by itself`);
+      if (ownEnds > 0) notes.push(`${name} ended by itself ${ownEnds} times`);
     }
     status = broken.length > 0 ? 1 : 0;
     verdict = [
--- a/review/lib3/store.mjs
+++ b/review/lib3/store.mjs
@@ -39,7 +39,7 @@
     if (reply === "reset") return request.socket.resetAndDestroy();
     if (response.destroyed) return;
     response.writeHead(reply.status, { "content-type": "application/json" });
-    response.end(JSON.stringify(reply.body ?? {}));
+    response.end(reply.body === undefined ? "" : JSON.stringify(reply.body));
   });
   server.on("connection", (socket) => {
     sockets.add(socket);
@@ -52,6 +52,10 @@
       const address = `127.0.0.1:${server.address().port}`;
       resolve({
         address,
+        /** Resets all open connections. */
+        resetAll: () => {
+          for (const socket of sockets) socket.resetAndDestroy();
+        },
         stop: () => {
           server.close();
           for (const socket of sockets) socket.destroy();
--- a/review/lib3/world.mjs
+++ b/review/lib3/world.mjs
@@ -67,6 +67,8 @@
     cpu = 16_000,
     maxAttempts = 3,
     bounds: changes = {},
+    /** Limits of each daemon's machine; default: those of the small deployment. Where they are given, the store's answers pass at the link's bandwidth. */
+    limits,
     labels = (index) => ["a", `r${Math.floor(index / 6)}`],
     seed = 1,
   } = options;
@@ -127,6 +129,7 @@
     zones: ZONES,
     store,
     bounds,
+    limits,
     record,
   });
   for (const daemon of daemons.slice(0, count)) daemon.start();
