Give the daemons of case 13 the machines that its links belong to

Change: settings of the largest and smallest machines of the deployment that the claim names, its bounds, and three changes.

--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -1,23 +1,42 @@
 import { runCase } from "../lib3/run_case.mjs";
 
-/** Bandwidths of the links of the machines: the scheduler's and the others'. */
-const FAST_MBPS = 140;
-const SLOW_MBPS = 13.3;
-/** The disruption: `big_config` with `count = 1400`, twice. */
+/** With TROUBLE=0 the disruption is left out. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+/** Machines of the sheet, the largest and the smallest, in its order: cores, memory, descriptors, bandwidth. */
+const LARGE = { cpuShare: 1.35, memoryMb: 602, maxFds: 10_250, linkMbps: 140 };
+const SMALL = { cpuShare: 0.243, memoryMb: 210, maxFds: 2_212, linkMbps: 13.3 };
+/** Bounds of the sheet, where they differ from those of the small deployment. */
+const BOUNDS = {
+  contactMs: 4_000,
+  ackMs: 6_000,
+  catchupS: 6,
+  drainMs: 3_000,
+  configApplyMs: 3_000,
+  maxStretchMs: 6_000,
+  recoveryS: 15,
+  gangTimeoutMs: 4_000,
+  cancel_ms: 4_000,
+  noticeMs: 5_500,
+  harmMs: 4_500,
+};
+/** The disruption: `big_config` with `count = 1400`, three times. */
 const ROUTES = 1_400;
-const CHANGES = 2;
+const CHANGES = 3;
 const CHANGE_GAP_MS = 8_000;
 /** How long the routes are asked for after the last change, in ms. */
-const ASK_MS = 20_000;
+const ASK_MS = 12_000;
 const ASK_GAP_MS = 250;
 
-const options = { seed: 1, daemons: 6, bounds: { configApplyMs: 3_000 } };
-await runCase(import.meta.url, options, async (world, hasTrouble) => {
+const options = {
+  hasTrouble,
+  seed: 1,
+  daemons: 6,
+  limits: [LARGE, LARGE, LARGE, SMALL, SMALL, SMALL],
+  bounds: BOUNDS,
+};
+await runCase(import.meta.url, options, async (world) => {
   const { wait, bounds, daemons, record } = world;
-  const scheduler = world.findScheduler();
-  for (const daemon of daemons) {
-    daemon.link.mbps = daemon === scheduler ? FAST_MBPS : SLOW_MBPS;
-  }
   const names = [];
   let version = 1;
   function change(count) {
