Compare a run with its own step, not with its job's critical path

Seen: in jobs that are chains of steps, endpoints seemed far faster than they are, the route's mean run time grew to that of the whole chain, and with it the jobs' objectives; a run that hung in a chain of eight steps was moved only after as long as eight steps take.

Cause: learnRunTime, recordProgress and stopStragglers compared the time of one run with `criticalPathMs`, which is the expected time of all steps of the job one after the other. The two are the same in jobs of one step only.

Change: a job keeps the expected run time of a task of each step (`runMs`); `criticalPathMs`, computed from these, is used for the job's objective only.

Related paths: placement reads slowness, which is right now; objectives, the refusal at admission, the passing of jobs and the wait of a VM without a scheduler concern whole jobs and go on using the critical path. Those of a job that has begun still count its ended steps.

--- a/src/scheduler/create_job.ts
+++ b/src/scheduler/create_job.ts
@@ -19,10 +19,10 @@
   order: JobOrder,
   nowMs: number,
 ): ScheduledJob {
-  const criticalPathMs = predictCriticalPathMs(
-    order.steps,
-    (step) => predictRunMs(state, order.route, step),
+  const runMs = order.steps.map((step) =>
+    predictRunMs(state, order.route, step)
   );
+  const criticalPathMs = predictCriticalPathMs(order.steps, runMs);
   updateTaskCpu(state, order);
   const arrivedMs = nowMs - order.ageMs;
   const allowedMs = order.stretch * criticalPathMs + order.slackMs;
@@ -35,6 +35,7 @@
     waitingTaskCount: 0,
     openTaskCount: 0,
     arrivedMs,
+    runMs,
     criticalPathMs,
     objectiveMs: arrivedMs + allowedMs,
     uselessAfterMs: arrivedMs + USELESS_FACTOR * allowedMs,
--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -30,7 +30,8 @@
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
   const tookMs = endpoint.clockMs - task.startedClockMs;
   const step = task.job.order.steps[task.step];
-  const expectedMs = Math.max(1, task.job.criticalPathMs, step.estimateMs / 2);
+  const runMs = task.job.runMs[task.step];
+  const expectedMs = Math.max(1, runMs, step.estimateMs / 2);
   const ratio = Math.min(
     MAX_RATIO,
     Math.max(1 / MAX_RATIO, tookMs / expectedMs),
--- a/src/scheduler/record_progress.ts
+++ b/src/scheduler/record_progress.ts
@@ -23,7 +23,8 @@
   const elapsedMs = Math.max(0, endpoint.clockMs - task.startedClockMs);
   const startedMs = nowMs - elapsedMs;
   const previousEndMs = task.expectedEndMs;
-  const expectedMs = task.job.criticalPathMs * endpoint.slowness;
+  const runMs = task.job.runMs[task.step];
+  const expectedMs = runMs * endpoint.slowness;
   task.progress = progress;
   task.expectedEndMs = predictRunEndMs({
     progress,
@@ -37,7 +38,7 @@
     !isSlow ||
     previousEndMs > startedMs + SLOW_RUN_RATIO * expectedMs
   ) return;
-  const ratio = totalMs / task.job.criticalPathMs;
+  const ratio = totalMs / runMs;
   endpoint.slowness = Math.exp(
     Math.log(endpoint.slowness) * (1 - SLOW_RUN_WEIGHT) +
       Math.log(ratio) * SLOW_RUN_WEIGHT,
--- a/src/scheduler/stop_stragglers.ts
+++ b/src/scheduler/stop_stragglers.ts
@@ -36,7 +36,7 @@
   if (!other || other.row.id === task.endpointId) return false;
   return isWorthMoving({
     remainingMs: task.expectedEndMs - nowMs,
-    newRunMs: job.criticalPathMs * other.slowness,
+    newRunMs: job.runMs[task.step] * other.slowness,
     stopMs: state.limits.stopMs,
   });
 }
--- a/src/vm/find_timeout_outcome.ts
+++ b/src/vm/find_timeout_outcome.ts
@@ -19,7 +19,7 @@
   const { order } = job;
   const criticalPathMs = predictCriticalPathMs(
     order.steps,
-    (step) => step.estimateMs,
+    order.steps.map(({ estimateMs }) => estimateMs),
   );
   const allowedMs = MAX_OBJECTIVE_FACTOR *
     (order.stretch * criticalPathMs + order.slackMs);
--- a/test/decide/succession_test.ts
+++ b/test/decide/succession_test.ts
@@ -106,9 +106,9 @@
 
 test("the critical path is the longest chain of dependent steps", () => {
   const steps = [
-    createStep(1, { estimateMs: 10 }),
-    createStep(1, { estimateMs: 30, after: [0] }),
-    createStep(1, { estimateMs: 20 }),
+    createStep(1),
+    createStep(1, { after: [0] }),
+    createStep(1),
   ];
-  assert.equal(predictCriticalPathMs(steps, (step) => step.estimateMs), 40);
+  assert.equal(predictCriticalPathMs(steps, [10, 30, 20]), 40);
 });
