Take a run time that is not known as unknown, not as zero

After 16 jobs without an estimate, 40 accepted jobs stayed queued for good while all endpoints were idle.

Cause: without an estimate, and with fewer than ten ended runs of its route, a run was expected to take 0 ms. recordProgress divided by that, so the endpoint's slowness became infinite. It is a mean of logarithms, which no later sample can bring back, and placement takes a finite cost only. The route's mean became 0, which spread the fault to jobs with estimates.

Evidence: `endpointSlow` with slowness null at the first listing of such a run and no `taskPlaced` after it.

Change: predictRunMs, readEstimateMs and a job's runMs are undefined where nothing is known; such a run teaches the route's mean but nothing about its endpoint, and is not moved. learnSlowness is the only place that changes an endpoint's slowness, and bounds each sample to 1 / 8 to 8. Objectives, refusals, the wait without a scheduler and backlogs assume one second. endpointSlow has expectedMs.

Related paths: stragglers, admission, backlogs, findTimeoutOutcome; takeovers hand nothing learned over; the product's own entries are bounded already.

--- a/src/decide/compute_backlogs.ts
+++ b/src/decide/compute_backlogs.ts
@@ -1,3 +1,4 @@
+import { ASSUMED_RUN_MS } from "./assumed_run_ms.ts";
 import { computeServiceCapacity } from "../scheduler/compute_service_capacity.ts";
 import { hasSpaceForJob } from "../scheduler/has_space_for_job.ts";
 import { predictRunMs } from "../scheduler/predict_run_ms.ts";
@@ -23,7 +24,8 @@
     for (const { phase, step } of tasks) {
       if (phase !== "waiting" && phase !== "blocked") continue;
       const { room } = order.steps[step];
-      const runMs = predictRunMs(state, order.route, order.steps[step]);
+      const runMs = predictRunMs(state, order.route, order.steps[step]) ??
+        ASSUMED_RUN_MS;
       const earlier = work.get(order.service) ?? 0;
       work.set(order.service, earlier + room.cpu * runMs);
     }
--- a/src/decide/predict_critical_path_ms.ts
+++ b/src/decide/predict_critical_path_ms.ts
@@ -1,4 +1,5 @@
 import type { StepOrder } from "../scheduler/step_order.ts";
+import { ASSUMED_RUN_MS } from "./assumed_run_ms.ts";
 
 /**
  * Predicts the run time of a job's critical path in ms, that is of the longest
@@ -8,7 +9,7 @@
  */
 export function predictCriticalPathMs(
   steps: StepOrder[],
-  runMs: number[],
+  runMs: (number | undefined)[],
 ): number {
   const endsMs: number[] = [];
   steps.forEach((step, index) => {
@@ -16,7 +17,7 @@
       0,
       ...step.after.map((earlier) => endsMs[earlier] ?? 0),
     );
-    endsMs[index] = startMs + runMs[index];
+    endsMs[index] = startMs + (runMs[index] ?? ASSUMED_RUN_MS);
   });
   return Math.max(0, ...endsMs);
 }
--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -1,4 +1,6 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { learnSlowness } from "./learn_slowness.ts";
+import { readExpectedRunMs } from "./read_expected_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -7,12 +9,13 @@
 const ENDPOINT_WEIGHT = 0.15;
 /** Weight of the newest sample in a route's mean run time. */
 const ROUTE_WEIGHT = 0.05;
-/** A single sample counts as at most this many times slower or faster than expected. */
-const MAX_RATIO = 8;
+/** Lower bound of run times, in ms: that of the clocks' steps. */
+const MIN_RUN_MS = 1;
 
 /**
  * Updates the endpoint's slowness and the route's mean run time from a
- * successful run, and ends the endpoint's series of consecutive failures.
+ * successful run, and ends the endpoint's series of consecutive failures. A run
+ * of which no run time was expected says nothing about the endpoint.
  */
 export function learnRunTime(
   state: SchedulerState,
@@ -28,19 +31,18 @@
   }
   if (task.startConfirmedMs === 0) return;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
-  const tookMs = endpoint.clockMs - task.startedClockMs;
-  const step = task.job.order.steps[task.step];
-  const runMs = task.job.runMs[task.step];
-  const expectedMs = Math.max(1, runMs, step.estimateMs / 2);
-  const ratio = Math.min(
-    MAX_RATIO,
-    Math.max(1 / MAX_RATIO, tookMs / expectedMs),
-  );
-  const weight = Math.max(ENDPOINT_WEIGHT, 1 / (endpoint.slownessSamples + 2));
-  endpoint.slowness = Math.exp(
-    Math.log(endpoint.slowness) * (1 - weight) + Math.log(ratio) * weight,
-  );
-  endpoint.slownessSamples += 1;
+  const tookMs = Math.max(MIN_RUN_MS, endpoint.clockMs - task.startedClockMs);
+  const runMs = readExpectedRunMs(state, task);
+  if (runMs !== undefined) {
+    const step = task.job.order.steps[task.step];
+    const expectedMs = Math.max(MIN_RUN_MS, runMs, step.estimateMs / 2);
+    const weight = Math.max(
+      ENDPOINT_WEIGHT,
+      1 / (endpoint.slownessSamples + 2),
+    );
+    learnSlowness(endpoint, { ratio: tookMs / expectedMs, weight });
+    endpoint.slownessSamples += 1;
+  }
   learnRouteMean(state, task.job.order.route, tookMs / endpoint.slowness);
 }
 
--- a/src/scheduler/predict_run_ms.ts
+++ b/src/scheduler/predict_run_ms.ts
@@ -1,3 +1,4 @@
+import { readEstimateMs } from "./read_estimate_ms.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { StepOrder } from "./step_order.ts";
 
@@ -7,15 +8,17 @@
 /**
  * Predicts a task's run time on an average endpoint, in ms: the geometric mean
  * of the caller's estimate and the route's mean. Both are rough, and their
- * geometric mean is closer than either.
+ * geometric mean is closer than either. Undefined if there is neither.
  */
 export function predictRunMs(
   state: SchedulerState,
   route: string,
   step: StepOrder,
-): number {
+): number | undefined {
+  const estimateMs = readEstimateMs(step);
   const stats = state.routeStats.get(route);
-  if (!stats || stats.samples < MIN_ROUTE_SAMPLES) return step.estimateMs;
-  if (step.estimateMs <= 0) return stats.meanMs;
-  return Math.sqrt(step.estimateMs * stats.meanMs);
+  if (!stats) return estimateMs;
+  if (estimateMs === undefined) return stats.meanMs;
+  if (stats.samples < MIN_ROUTE_SAMPLES) return estimateMs;
+  return Math.sqrt(estimateMs * stats.meanMs);
 }
--- a/src/scheduler/record_progress.ts
+++ b/src/scheduler/record_progress.ts
@@ -1,5 +1,7 @@
 import { predictRunEndMs } from "../decide/predict_run_end_ms.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
+import { learnSlowness } from "./learn_slowness.ts";
+import { readExpectedRunMs } from "./read_expected_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -11,7 +13,8 @@
 
 /**
  * Records a run's progress and predicts its end from it. Raises the slowness of
- * the endpoint when the run is first found to be slow.
+ * the endpoint when the run is first found to be slow. A run of which no run
+ * time was expected can't be slow, and its end is not predicted.
  */
 export function recordProgress(
   state: SchedulerState,
@@ -23,9 +26,10 @@
   const elapsedMs = Math.max(0, endpoint.clockMs - task.startedClockMs);
   const startedMs = nowMs - elapsedMs;
   const previousEndMs = task.expectedEndMs;
-  const runMs = task.job.runMs[task.step];
-  const expectedMs = runMs * endpoint.slowness;
   task.progress = progress;
+  const runMs = readExpectedRunMs(state, task);
+  if (runMs === undefined) return;
+  const expectedMs = runMs * endpoint.slowness;
   task.expectedEndMs = predictRunEndMs({
     progress,
     elapsedMs,
@@ -38,16 +42,16 @@
     !isSlow ||
     previousEndMs > startedMs + SLOW_RUN_RATIO * expectedMs
   ) return;
-  const ratio = totalMs / runMs;
-  endpoint.slowness = Math.exp(
-    Math.log(endpoint.slowness) * (1 - SLOW_RUN_WEIGHT) +
-      Math.log(ratio) * SLOW_RUN_WEIGHT,
-  );
+  learnSlowness(endpoint, {
+    ratio: totalMs / runMs,
+    weight: SLOW_RUN_WEIGHT,
+  });
   recordEvent(state, "endpointSlow", {
     endpoint: endpoint.row.id,
     task: task.name,
     progress,
     elapsedMs: Math.round(elapsedMs),
+    expectedMs: Math.round(expectedMs),
     slowness: Math.round(endpoint.slowness * 100) / 100,
   });
 }
--- a/src/scheduler/scheduled_job.ts
+++ b/src/scheduler/scheduled_job.ts
@@ -19,8 +19,8 @@
   openTaskCount: number;
   /** When the caller's request arrived, by the scheduler's clock, in ms. */
   arrivedMs: number;
-  /** Expected run time of a task of each step on an average endpoint, in ms. */
-  runMs: number[];
+  /** Expected run time of a task of each step on an average endpoint, in ms; undefined if it was not known when the job was submitted. */
+  runMs: (number | undefined)[];
   /** Expected run time of the critical path of the steps on an average endpoint, in ms. */
   criticalPathMs: number;
   /** Until when the answer meets the latency objective, in ms; an estimate, as it is based on `criticalPathMs`. */
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -207,6 +207,23 @@
   return fc.tuple(evacuations, others).map((faults) => faults.flat());
 }
 
+/** Creates the faults of a history in which jobs have no estimates of run times, or estimates that are far off. */
+export function createEstimateFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const estimates = createArray(["estimatesOff"], {
+    minLength: 1,
+    maxLength: 2,
+    maxDurationMs: 12_000,
+    lastIndex: 0,
+  });
+  const others = createArray(KINDS, {
+    minLength: 0,
+    maxLength: 5,
+    maxDurationMs: 4_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(estimates, others).map((faults) => faults.flat());
+}
+
 /** Creates the faults of a history in which tasks crash the endpoints that start them. */
 export function createCrashFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const crashes = createArray(["tasksCrash"], {
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -1,4 +1,4 @@
-/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, ordersSlow, runsLong, tasksCrash and crashesEndScheduler ignore it. */
+/** A fault of a history, from `atMs` for `forMs`. `endpoint` is the index of an endpoint, or of a VM for the kinds that begin with `link`; the kinds takeover, powerLoss, cancel, ordersSlow, runsLong, tasksCrash and crashesEndScheduler and estimatesOff ignore it. */
 export type Fault = {
   atMs: number;
   forMs: number;
@@ -24,6 +24,8 @@
     | "runsHang"
     /** The first task of every third job that is submitted during the fault crashes each endpoint that starts it. */
     | "tasksCrash"
+    /** Jobs that are submitted have no estimates of run times, or estimates that are far off. Endpoints list the progress of runs in histories with this fault. */
+    | "estimatesOff"
     /** All schedulers and VMs end shortly after each such crash. */
     | "crashesEndScheduler"
     /** Another scheduler takes over; the earlier one goes on running until the end of the fault. */
--- a/test/scheduler_fuzz/fuzz_endpoint.ts
+++ b/test/scheduler_fuzz/fuzz_endpoint.ts
@@ -11,7 +11,7 @@
 /** CPU that each task needs. */
 const TASK_CPU_MILLICORES = 6_800;
 
-type Run = { run: number; endsMs: number };
+type Run = { run: number; beganMs: number; endsMs: number };
 
 /** A simulated endpoint with the platform's rules: fencing tokens, leases on the endpoint's clock, increasing run numbers for each task, and run ends that are listed until acknowledged. */
 export class FuzzEndpoint {
@@ -32,6 +32,7 @@
   #leaseEndMs = 0;
   #processStartedAtMs = 0;
   #maxListedEnds: number;
+  #showsProgress?: boolean;
   #onStart?: (endpoint: FuzzEndpoint, task: string) => void;
 
   constructor(
@@ -40,6 +41,8 @@
       oracle: Oracle;
       clockRate: number;
       maxListedEnds: number;
+      /** Whether listings contain the progress of runs; otherwise it is 0. Default: false. */
+      showsProgress?: boolean;
       /** Called with each task that the endpoint starts. */
       onStart?: (endpoint: FuzzEndpoint, task: string) => void;
     },
@@ -49,6 +52,7 @@
     this.#clockRate = options.clockRate;
     this.#onStart = options.onStart;
     this.#maxListedEnds = options.maxListedEnds;
+    this.#showsProgress = options.showsProgress ?? false;
   }
 
   /** Returns the endpoint's clock, in ms since its process started. */
@@ -116,7 +120,11 @@
     const isFull = (this.#runs.size + 1) * TASK_CPU_MILLICORES > CPU_MILLICORES;
     if (isFull || this.#runs.has(order.task)) return reject("noRoom");
     this.#highestRuns.set(order.task, order.run);
-    this.#runs.set(order.task, { run: order.run, endsMs: nowMs + workMs });
+    this.#runs.set(order.task, {
+      run: order.run,
+      beganMs: nowMs,
+      endsMs: nowMs + workMs,
+    });
     this.#oracle.recordStart(this.id, order.task, nowMs);
     this.#onStart?.(this, order.task);
     return { type: "accepted" };
@@ -160,15 +168,20 @@
     return {
       clockMs: this.readClock(nowMs),
       processStartMs: this.processStartMs,
-      running: [...this.#runs].map(([task, { run }]) => ({
+      running: [...this.#runs].map(([task, one]) => ({
         task,
-        run,
-        progress: 0,
+        run: one.run,
+        progress: this.#readProgress(one, nowMs),
       })),
       ended: this.#ends.slice(0, this.#maxListedEnds),
     };
   }
 
+  #readProgress({ beganMs, endsMs }: Run, nowMs: number): number {
+    if (!this.#showsProgress || this.isHanging) return 0;
+    return Math.min(1, (nowMs - beganMs) / (endsMs - beganMs));
+  }
+
   #extend(leaseEndMs: number, nowMs: number): void {
     const maxLeaseEndMs = this.readClock(nowMs) + MAX_LEASE_MS;
     this.#leaseEndMs = Math.max(
--- a/test/scheduler_fuzz/main.ts
+++ b/test/scheduler_fuzz/main.ts
@@ -3,6 +3,7 @@
 import {
   createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
+  createEstimateFaultArbitrary,
   createEvacuationFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
@@ -32,6 +33,7 @@
   losses: createRepeatedLossFaultArbitrary(),
   outages: createLongOutageFaultArbitrary(),
   evacuations: createEvacuationFaultArbitrary(),
+  estimates: createEstimateFaultArbitrary(),
   crashes: createCrashFaultArbitrary(),
 };
 for (const [name, faults] of Object.entries(KINDS)) {
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -70,6 +70,8 @@
 /** Factor of run times in histories with links to earlier schedulers: runs outlast the waits for runs that another scheduler started. */
 const EARLIER_LINK_RUN_FACTOR = 12;
 
+/** Estimates of run times, in ms, of jobs in the order in which they are submitted while estimates are off; 0: none. */
+const WRONG_ESTIMATES_MS = [0, 0, 1, 0, 20_000];
 /** Factor of run times while runs are long. */
 const LONG_RUN_FACTOR = 12;
 
@@ -98,6 +100,7 @@
   const hasAges = faults.some(({ kind }) =>
     kind === "tasksCrash" || kind === "runsLong"
   );
+  const hasWrongEstimates = faults.some(({ kind }) => kind === "estimatesOff");
   const hasEvacuations = faults.some(({ kind }) => kind === "evacuated");
   const evacuations = new FuzzEvacuations();
   /** When the store took calls again after its last outage. */
@@ -123,6 +126,7 @@
         oracle,
         clockRate: 1 - 0.006 * (index % 4),
         maxListedEnds,
+        showsProgress: hasWrongEstimates,
         onStart: crashIfDeadly,
       }),
   );
@@ -501,12 +505,18 @@
     );
     if (isCrashing && index % 3 === 0) crashingTasks.add(`${id}.0.0.0`);
     const factor = hasOutages ? STORE_TASK_FACTOR : 1;
+    const areEstimatesOff = [...activeFaults].some(({ kind }) =>
+      kind === "estimatesOff"
+    );
+    const estimate = areEstimatesOff
+      ? { estimateMs: WRONG_ESTIMATES_MS[index % WRONG_ESTIMATES_MS.length] }
+      : { estimateMs: 200 };
     const steps = index % 3 === 0
       ? [
-        createStep(2 * factor, { estimateMs: 200 }),
-        createStep(1, { after: [0] }),
+        createStep(2 * factor, estimate),
+        createStep(1, { after: [0], ...(areEstimatesOff ? estimate : {}) }),
       ]
-      : [createStep((1 + index % 4) * factor, { estimateMs: 200 })];
+      : [createStep((1 + index % 4) * factor, estimate)];
     const order = createOrder({
       id,
       steps,
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -4,6 +4,7 @@
 import {
   createCrashFaultArbitrary,
   createEarlierSchedulerFaultArbitrary,
+  createEstimateFaultArbitrary,
   createEvacuationFaultArbitrary,
   createFaultArbitrary,
   createLinkFaultArbitrary,
@@ -24,6 +25,7 @@
 const LOSS_HISTORIES = 25;
 const OUTAGE_HISTORIES = 25;
 const EVACUATION_HISTORIES = 25;
+const ESTIMATE_HISTORIES = 25;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -125,6 +127,19 @@
   );
 });
 
+test("no history in which jobs have no estimates, or wrong ones, violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createEstimateFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: ESTIMATE_HISTORIES },
+  );
+});
+
 test("no history in which tasks crash the endpoints that start them violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
