--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -17,12 +17,19 @@
 const LIMITS = { memoryMb: 350, maxFds: 1_100 };
 const HEAP_MB = 160;
 const WORKERS = 4;
+/** Bandwidths of the nodes' links to the store by turns, in Mbit/s: the largest and the smallest of the users' sheets. */
+const LINKS_MBPS = [140, 13.3, 13.3];
+/** Routes by which the configuration grows at a time, and how often at most. */
+const GROWTH_ROUTES = 1_400;
+const MAX_GROWTHS = 3;
+/** Estimates that callers give of the run time, in ms; 0: none. */
+const ESTIMATES_MS = [30, 30, 0, 1];
 /** Callers that go on using an open connection until it is closed. */
 const CALLERS_PER_NODE = 4;
 /** Longest time in which every node serves again after the last disturbance, in ms. */
 const RECOVER_WITHIN_MS = 45_000;
 
-/** Runs series of disturbances that overlap while callers and crowds send, and returns the violations found: a process that ended by itself or left its limits, a refusal of what ran, two runs of one task at once, a node that serves no more. */
+/** Runs series of disturbances that overlap while callers and crowds send, and returns the violations found: a process that ended by itself or left its limits, a refusal of what ran, two runs of one task at once, a node that serves no more, or that does not know the newest route. */
 export async function runSoak(options: {
   seed: number;
   nodes: number;
@@ -39,6 +46,10 @@
     nodes: options.nodes,
     workers: WORKERS,
     runMs: 30,
+    linksMbps: Array.from(
+      { length: options.nodes },
+      (_, index) => LINKS_MBPS[index % LINKS_MBPS.length],
+    ),
     limits: LIMITS,
     nodeArguments: [`--max-old-space-size=${HEAP_MB}`],
   };
@@ -50,6 +61,7 @@
     const refused = new Set<string>();
     let isOver = false;
     let version = 1;
+    let growths = 0;
     let lastId = 0;
 
     function watchExit(node: TestNode): void {
@@ -66,7 +78,8 @@
       while (!isOver) {
         lastId += 1;
         const id = createId(lastId);
-        const status = await sendJob(node, { id, agent });
+        const estimateMs = pick(ESTIMATES_MS);
+        const status = await sendJob(node, { id, agent, estimateMs });
         if (status === 503) refused.add(id);
         if (status !== 200) await waitMs(50);
       }
@@ -106,10 +119,22 @@
       store.faults.losesAnswers = false;
     }
 
-    function changeConfiguration(): Promise<void> {
+    /** Puts the next version of the configuration, with the routes of `growths` growths and a route of its own, whose path is returned. */
+    function putConfiguration(): string {
       version += 1;
-      const routes = ["/proofs/", `/added-${version}/`];
-      store.put("op", "config", createConfiguration(version, routes));
+      const newest = `/added-${version}/`;
+      const routes = Array.from(
+        { length: growths * GROWTH_ROUTES },
+        (_, index) => `/grown-${index}/`,
+      );
+      const all = ["/proofs/", ...routes, newest];
+      store.put("op", "config", createConfiguration(version, all));
+      return newest;
+    }
+
+    function changeConfiguration(): Promise<void> {
+      if (random() < 0.5) growths = Math.min(growths + 1, MAX_GROWTHS);
+      putConfiguration();
       return waitMs(chooseBetween(100, 1_000));
     }
 
@@ -141,10 +166,17 @@
       runSeries(bringCrowd),
       runSeries(bringCrowd),
     ]);
+    const createNextId = () => createId(lastId += 1);
     for (const node of nodes) {
-      const problem = await findProblem(node, () => createId(lastId += 1));
+      const problem = await findProblem(node, createNextId);
       if (problem) violations.push(problem);
     }
+    growths = MAX_GROWTHS;
+    const newest = putConfiguration();
+    const missing = await Promise.all(
+      nodes.map((node) => findMissingRoute(node, { newest, createNextId })),
+    );
+    violations.push(...missing.filter((problem) => problem !== undefined));
     isOver = true;
     await Promise.all(callers);
     violations.push(...findWrongRuns(system, refused));
@@ -155,8 +187,9 @@
 /** Sends a job over the agent's connection and resolves with the status, or 0 when there is no answer. */
 function sendJob(
   node: TestNode,
-  { id, agent }: { id: string; agent: Agent },
+  job: { id: string; agent: Agent; estimateMs: number },
 ): Promise<number> {
+  const { id, agent, estimateMs } = job;
   const [host, port] = node.callerAddress.split(":");
   return new Promise((resolve) => {
     const outgoing = request({
@@ -176,7 +209,7 @@
     outgoing.end(JSON.stringify({
       spec: "{}",
       bestEffort: true,
-      steps: [{ count: 1, cpu: 100, memMb: 1, estimateMs: 30 }],
+      steps: [{ count: 1, cpu: 100, memMb: 1, estimateMs }],
     }));
   });
 }
@@ -201,6 +234,22 @@
   return `${node.name} serves no more`;
 }
 
+/** Finds whether a node still does not know the newest route of the configuration. */
+async function findMissingRoute(
+  node: TestNode,
+  at: { newest: string; createNextId: () => string },
+): Promise<string | undefined> {
+  const untilMs = performance.now() + RECOVER_WITHIN_MS;
+  while (performance.now() < untilMs) {
+    const path = `${at.newest}${at.createNextId()}`;
+    const answer = await postJob(node, at.createNextId(), { path })
+      .catch(() => undefined);
+    if (answer && answer.status !== 404) return undefined;
+    await waitMs(100);
+  }
+  return `${node.name} does not know the newest route`;
+}
+
 /** Finds jobs that ran although they were refused, and tasks that had two runs at once. */
 function findWrongRuns(system: System, refused: Set<string>): string[] {
   const found: string[] = [];
