Count a job as pending until an endpoint has started a task of it

An endpoint rejected every start for 6.5 s. The VMs answered "pending": 0 over 5 s after a job that only it could run was accepted, and gave the job's state as running.

Cause: hasKnownStart was set, and saved, when a start was sent; a rejection did not take it back. What it says to its readers is that a start happened.

Change: the flag is set once an endpoint has accepted a start, or listed a run or the end of one. It is saved then, as many times as before.

Adopted runs and ends listed early only count what was listed.

Two assertions of test/scheduler/stored_jobs_test.ts were wrong: they expected a start that had only been sent to count. Each now checks that the job is pending before the start is accepted, and no longer so after.

--- a/src/scheduler/adopt_run.ts
+++ b/src/scheduler/adopt_run.ts
@@ -4,6 +4,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { isSuspect } from "./is_suspect.ts";
 import { recordEvent } from "./record_event.ts";
+import { recordKnownStart } from "./record_known_start.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import { UNKNOWN_RUN } from "./unknown_run.ts";
@@ -39,7 +40,7 @@
   task.progress = 0;
   task.expectedEndMs = 0;
   task.job.mayHaveStarted = true;
-  task.job.hasKnownStart = true;
+  recordKnownStart(state, task.job);
   addRun(endpoint, task);
   recordDoubtfulRun(task);
   if (isSuspect(task)) endpoint.isolatedTask ??= task;
--- a/src/scheduler/apply_listing.ts
+++ b/src/scheduler/apply_listing.ts
@@ -9,6 +9,7 @@
 import { recordClock } from "./record_clock.ts";
 import { recordForeignLease } from "./record_foreign_lease.ts";
 import { recordForeignRun } from "./record_foreign_run.ts";
+import { recordKnownStart } from "./record_known_start.ts";
 import { recordProgress } from "./record_progress.ts";
 import { recordLostRuns } from "./record_lost_runs.ts";
 import { placeTasks } from "./place_tasks.ts";
@@ -129,6 +130,7 @@
       continue;
     }
     confirmStart(endpoint, task, { nowMs });
+    recordKnownStart(state, task.job);
     recordProgress(state, endpoint, { task, progress, nowMs });
     changeTaskPhase(state, task, "confirm");
   }
--- a/src/scheduler/apply_start_reply.ts
+++ b/src/scheduler/apply_start_reply.ts
@@ -3,6 +3,7 @@
 import { confirmStart } from "./confirm_start.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordFailure } from "./record_failure.ts";
+import { recordKnownStart } from "./record_known_start.ts";
 import { placeTasks } from "./place_tasks.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
@@ -39,6 +40,7 @@
     endpoint.roomRejections = 0;
     if (task.phase === "starting") changeTaskPhase(state, task, "confirm");
     confirmStart(endpoint, task, { nowMs, clockMs: reply.clockMs });
+    recordKnownStart(state, task.job);
     if (task.job.outcome) stopRun(state, endpoint, task);
     return;
   }
--- a/src/scheduler/end_run.ts
+++ b/src/scheduler/end_run.ts
@@ -7,6 +7,7 @@
 import { recordFailure } from "./record_failure.ts";
 import { learnRunTime } from "./learn_run_time.ts";
 import { recordJobChange } from "./record_job_change.ts";
+import { recordKnownStart } from "./record_known_start.ts";
 import { recordEvent } from "./record_event.ts";
 import { dropRun } from "./drop_run.ts";
 import { retryTask } from "./retry_task.ts";
@@ -36,6 +37,7 @@
   });
   // An older run of the same task, if its job is stored, may have been listed as done already.
   if (task.job.outcome || task.phase === "done") return;
+  recordKnownStart(state, task.job);
   if (how === "done" || how === "failed" || task.isStartCounted) {
     recordJobChange(state, task.job, endId);
   }
--- a/src/scheduler/request_start.ts
+++ b/src/scheduler/request_start.ts
@@ -1,7 +1,6 @@
 import { computeEndpointClock } from "./compute_endpoint_clock.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { recordEvent } from "./record_event.ts";
-import { recordJobChange } from "./record_job_change.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 
@@ -13,8 +12,6 @@
 ): void {
   const { task, earlierRun, nowMs } = start;
   const { job } = task;
-  if (!job.hasKnownStart) recordJobChange(state, job);
-  job.hasKnownStart = true;
   task.startSentMs = nowMs;
   const endpointId = endpoint.row.id;
   const leaseEndMs = Math.floor(
--- a/src/stored_jobs/encode_progress.ts
+++ b/src/stored_jobs/encode_progress.ts
@@ -35,6 +35,7 @@
 function hasStarted({ hasKnownStart, tasks }: ScheduledJob): boolean {
   return hasKnownStart ||
     tasks.some(({ phase, failedRuns, lostRuns }) =>
-      phase === "done" || failedRuns.length > 0 || lostRuns.length > 0
+      phase === "done" || failedRuns.length > 0 ||
+      lostRuns.some(({ wasConfirmed }) => wasConfirmed)
     );
 }
--- a/test/scheduler/stored_jobs_test.ts
+++ b/test/scheduler/stored_jobs_test.ts
@@ -361,6 +361,8 @@
     later.confirmSaved();
     later.advanceTo(40);
     assert.equal(later.starts.length, 1);
+    assert.deepEqual(countPending(later.state), { proofs: 1 });
+    later.reply(later.starts[0], { type: "accepted" });
     assert.deepEqual(countPending(later.state), {});
     const { isUnstarted } = encodeProgress(later.starts[0].task.job);
     assert.equal(isUnstarted, undefined);
@@ -383,6 +385,10 @@
     driver.list("e2");
     driver.advanceTo(20);
     assert.equal(driver.starts.length, 2);
+    assert.deepEqual(countPending(driver.state), { proofs: 1 });
+    for (const start of driver.starts) {
+      driver.reply(start, { type: "accepted" });
+    }
     assert.deepEqual(countPending(driver.state), {});
   });
 
--- a/test/scheduler_fuzz/create_fault_arbitrary.ts
+++ b/test/scheduler_fuzz/create_fault_arbitrary.ts
@@ -249,6 +249,23 @@
   return fc.tuple(estimates, others).map((faults) => faults.flat());
 }
 
+/** Creates the faults of a history in which endpoints reject the starts that they are sent, at times all of them, while schedulers are replaced. */
+export function createRejectionFaultArbitrary(): fc.Arbitrary<Fault[]> {
+  const rejections = createArray(["startsRejected"], {
+    minLength: 2,
+    maxLength: 8,
+    maxDurationMs: 6_000,
+    lastIndex: 3,
+  });
+  const others = createArray(KINDS, {
+    minLength: 0,
+    maxLength: 5,
+    maxDurationMs: 4_000,
+    lastIndex: 3,
+  });
+  return fc.tuple(rejections, others).map((faults) => faults.flat());
+}
+
 /** Creates the faults of a history in which tasks crash the endpoints that start them. */
 export function createCrashFaultArbitrary(): fc.Arbitrary<Fault[]> {
   const crashes = createArray(["tasksCrash"], {
--- a/test/scheduler_fuzz/fault.ts
+++ b/test/scheduler_fuzz/fault.ts
@@ -20,6 +20,8 @@
     | "ordersSlow"
     /** Runs that begin take up to 5 s, so that they outlast schedulers. */
     | "runsLong"
+    /** Every start is rejected as that of an unhealthy endpoint. */
+    | "startsRejected"
     /** Every run fails. */
     | "runsFail"
     /** No run ends by itself. */
--- a/test/scheduler_fuzz/fuzz_endpoint.ts
+++ b/test/scheduler_fuzz/fuzz_endpoint.ts
@@ -18,6 +18,8 @@
   readonly id: string;
   /** Whether runs that end do so as failed. */
   isFailing = false;
+  /** Whether starts are rejected as those of an unhealthy endpoint. */
+  isRejecting = false;
   /** Whether runs go on until they are stopped or the lease expires. */
   isHanging = false;
   processStartMs = 1;
@@ -107,6 +109,7 @@
   ): StartReply {
     const { nowMs, workMs } = at;
     this.advance(nowMs);
+    if (this.isRejecting) return reject("unhealthy");
     if (order.token < this.#token) return reject("superseded");
     this.#token = order.token;
     if (order.leaseEndMs < this.readClock(nowMs)) return reject("expired");
--- a/test/scheduler_fuzz/run_scheduler_history.ts
+++ b/test/scheduler_fuzz/run_scheduler_history.ts
@@ -15,6 +15,7 @@
   createOrder,
   createStep,
 } from "../fixtures/create_scheduler_driver.ts";
+import { findMissedPending } from "./find_missed_pending.ts";
 import { findWrongCounts } from "./find_wrong_counts.ts";
 import { FuzzEvacuations } from "./fuzz_evacuations.ts";
 import type { Fault } from "./fault.ts";
@@ -371,7 +372,10 @@
   }
 
   function checkCounts({ state }: FuzzHost): void {
-    const [found] = findWrongCounts(state);
+    const [found] = [
+      ...findWrongCounts(state),
+      ...findMissedPending(state, (id) => oracle.hasStarted(id)),
+    ];
     if (!found || hasWrongCounts) return;
     hasWrongCounts = true;
     oracle.violations.push(`${nowMs}: ${found}`);
@@ -487,6 +491,7 @@
     if (fault.kind === "cut") cutHosts.set(fault, current);
     if (fault.kind === "runsFail") endpoint.isFailing = true;
     if (fault.kind === "runsHang") endpoint.isHanging = true;
+    if (fault.kind === "startsRejected") endpoint.isRejecting = true;
     const dataCentre = findDataCentre(endpoint);
     if (fault.kind === "evacuated") evacuations.begin(dataCentre, nowMs);
     activeFaults.add(fault);
@@ -497,6 +502,7 @@
       if (hasSilences && fault.kind.startsWith("store")) readStoredAgain();
       endpoint.isFailing = isFaulty("runsFail", endpoint);
       endpoint.isHanging = isFaulty("runsHang", endpoint);
+      endpoint.isRejecting = isFaulty("startsRejected", endpoint);
     });
   }
 
--- a/test/scheduler_fuzz/scheduler_fuzz_test.ts
+++ b/test/scheduler_fuzz/scheduler_fuzz_test.ts
@@ -10,6 +10,7 @@
   createLinkFaultArbitrary,
   createLongOutageFaultArbitrary,
   createOverlappingCutFaultArbitrary,
+  createRejectionFaultArbitrary,
   createRepeatedLossFaultArbitrary,
   createResetFaultArbitrary,
   createStoreFaultArbitrary,
@@ -28,6 +29,7 @@
 const EVACUATION_HISTORIES = 25;
 const ESTIMATE_HISTORIES = 25;
 const RESET_HISTORIES = 25;
+const REJECTION_HISTORIES = 25;
 
 test("no history of jobs and faults violates a guarantee of the scheduler", () => {
   fc.assert(
@@ -142,6 +144,20 @@
   );
 });
 
+// Jobs whose starts had only been sent, and were then rejected, counted as begun.
+test("no history in which endpoints reject starts violates a guarantee of the scheduler", () => {
+  fc.assert(
+    fc.property(
+      createRejectionFaultArbitrary(),
+      fc.nat(1_000_000),
+      (faults, seed) => {
+        assert.deepEqual(runSchedulerHistory(faults, seed).violations, []);
+      },
+    ),
+    { seed: SEED, numRuns: REJECTION_HISTORIES },
+  );
+});
+
 test("no history in which jobs have no estimates, or wrong ones, violates a guarantee of the scheduler", () => {
   fc.assert(
     fc.property(
