--- a/src/scheduler/read_estimate_ms.ts
+++ b/src/scheduler/find_estimate_ms.ts
@@ -1,7 +1,7 @@
 import type { StepOrder } from "./step_order.ts";
 
-/** Reads the caller's estimate of a task's run time, in ms; undefined if the caller gave none. */
-export function readEstimateMs(
+/** Finds the caller's estimate of a task's run time, in ms; undefined if the caller gave none. */
+export function findEstimateMs(
   { estimateMs }: StepOrder,
 ): number | undefined {
   return estimateMs > 0 ? estimateMs : undefined;
--- a/src/scheduler/learn_run_time.ts
+++ b/src/scheduler/learn_run_time.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { learnSlowness } from "./learn_slowness.ts";
-import { readExpectedRunMs } from "./read_expected_run_ms.ts";
+import { findExpectedRunMs } from "./find_expected_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -32,7 +32,7 @@
   if (task.startConfirmedMs === 0) return;
   // By the endpoint's clock, as this process may be late in reading the reply and the listing.
   const tookMs = Math.max(MIN_RUN_MS, endpoint.clockMs - task.startedClockMs);
-  const runMs = readExpectedRunMs(state, task);
+  const runMs = findExpectedRunMs(state, task);
   if (runMs !== undefined) {
     const step = task.job.order.steps[task.step];
     const expectedMs = Math.max(MIN_RUN_MS, runMs, step.estimateMs / 2);
--- a/src/scheduler/predict_run_ms.ts
+++ b/src/scheduler/predict_run_ms.ts
@@ -1,4 +1,4 @@
-import { readEstimateMs } from "./read_estimate_ms.ts";
+import { findEstimateMs } from "./find_estimate_ms.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
 import type { StepOrder } from "./step_order.ts";
 
@@ -15,7 +15,7 @@
   route: string,
   step: StepOrder,
 ): number | undefined {
-  const estimateMs = readEstimateMs(step);
+  const estimateMs = findEstimateMs(step);
   const stats = state.routeStats.get(route);
   if (!stats) return estimateMs;
   if (estimateMs === undefined) return stats.meanMs;
--- a/src/scheduler/record_progress.ts
+++ b/src/scheduler/record_progress.ts
@@ -1,7 +1,7 @@
 import { predictRunEndMs } from "../decide/predict_run_end_ms.ts";
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { learnSlowness } from "./learn_slowness.ts";
-import { readExpectedRunMs } from "./read_expected_run_ms.ts";
+import { findExpectedRunMs } from "./find_expected_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -27,7 +27,7 @@
   const startedMs = nowMs - elapsedMs;
   const previousEndMs = task.expectedEndMs;
   task.progress = progress;
-  const runMs = readExpectedRunMs(state, task);
+  const runMs = findExpectedRunMs(state, task);
   if (runMs === undefined) return;
   const expectedMs = runMs * endpoint.slowness;
   task.expectedEndMs = predictRunEndMs({
--- a/src/scheduler/stop_stragglers.ts
+++ b/src/scheduler/stop_stragglers.ts
@@ -3,7 +3,7 @@
 import type { EndpointRecord } from "./endpoint_record.ts";
 import { hasLostRuns } from "./has_lost_runs.ts";
 import { isWanted } from "./is_wanted.ts";
-import { readExpectedRunMs } from "./read_expected_run_ms.ts";
+import { findExpectedRunMs } from "./find_expected_run_ms.ts";
 import { recordEvent } from "./record_event.ts";
 import type { ScheduledTask } from "./scheduled_task.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
@@ -33,7 +33,7 @@
   if (hasLostRuns(task)) return false;
   if (task.stoppedByMs > 0 || task.moveCount >= MAX_MOVES) return false;
   if (task.expectedEndMs <= job.objectiveMs) return false;
-  const runMs = readExpectedRunMs(state, task);
+  const runMs = findExpectedRunMs(state, task);
   if (runMs === undefined) return false;
   const other = chooseEndpoint(state, task, nowMs);
   if (!other || other.row.id === task.endpointId) return false;
--- a/src/vm/find_timeout_outcome.ts
+++ b/src/vm/find_timeout_outcome.ts
@@ -1,5 +1,5 @@
 import { predictCriticalPathMs } from "../decide/predict_critical_path_ms.ts";
-import { readEstimateMs } from "../scheduler/read_estimate_ms.ts";
+import { findEstimateMs } from "../scheduler/find_estimate_ms.ts";
 import type { JobOutcome } from "../scheduler/job_outcome.ts";
 import type { OpenJob } from "./open_job.ts";
 
@@ -20,7 +20,7 @@
   const { order } = job;
   const criticalPathMs = predictCriticalPathMs(
     order.steps,
-    order.steps.map(readEstimateMs),
+    order.steps.map(findEstimateMs),
   );
   const allowedMs = MAX_OBJECTIVE_FACTOR *
     (order.stretch * criticalPathMs + order.slackMs);
